--- /dev/null
+++ b/internal/result/result.go
@@ -0,0 +1,207 @@
+// Package result defines the numbered result codes and the typed error that
+// carries one. docs/RESULT-CODES.md lists what a caller may do about each. It
+// is a decisions layer only.
+package result
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Ran says what is known about the execution of a request.
+type Ran uint8
+
+// The three classes of a result.
+const (
+	NotRun     Ran = iota + 1 // proved: no target began to run it
+	MayHaveRun                // a target may have begun to run it
+	HasRun                    // a target ran it and its answer is known
+)
+
+// String returns the class as it stands in docs and headers.
+func (r Ran) String() string {
+	switch r {
+	case NotRun:
+		return "not run"
+	case MayHaveRun:
+		return "may have run"
+	case HasRun:
+		return "has run"
+	default:
+		return "unknown"
+	}
+}
+
+// Code is a numbered result. Numbers are stable: a code is never reused.
+type Code uint16
+
+// Hundreds group the codes by the concern that issues them.
+const (
+	OK Code = 0
+
+	BadRequest        Code = 100
+	UnknownService    Code = 101
+	MissingCallerKey  Code = 102
+	UnknownCallerKey  Code = 103
+	MissingKey        Code = 104
+	BodyTooLarge      Code = 105
+	TooManyForwards   Code = 106
+	DuplicateRequest  Code = 107
+	RateExceeded      Code = 200
+	Overloaded        Code = 201
+	DeadlineInQueue   Code = 202
+	CallerGone        Code = 203
+	NoTarget          Code = 300
+	NotOwner          Code = 301
+	ShardUnassigned   Code = 302
+	CellUnreachable   Code = 303
+	NoLease           Code = 304
+	DataCentreOut     Code = 305
+	ConnectFailed     Code = 400
+	TargetRefused     Code = 401
+	TargetTimeout     Code = 402
+	ConnectionLost    Code = 403
+	AnswerMismatch    Code = 404
+	AnswerTooLarge    Code = 405
+	ForwardLost       Code = 406
+	OutcomeUnknown    Code = 407
+	VersionConflict   Code = 500
+	NoLeader          Code = 501
+	Unauthenticated   Code = 502
+	InvalidChange     Code = 503
+	NotFound          Code = 504
+	CommitUnknown     Code = 505
+	Starting          Code = 600
+	Stopping          Code = 601
+	Internal          Code = 700
+	SettingsInvalid   Code = 701
+	StorageCorrupt    Code = 702
+	StorageFailed     Code = 703
+	CommandLineMisuse Code = 704
+)
+
+// Info describes one code for the table in the docs and for the edges.
+type Info struct {
+	Name       string // stable identifier, in snake case
+	Ran        Ran
+	HTTPStatus int
+}
+
+var infos = map[Code]Info{
+	OK:                {"ok", HasRun, 200},
+	BadRequest:        {"bad_request", NotRun, 400},
+	UnknownService:    {"unknown_service", NotRun, 404},
+	MissingCallerKey:  {"missing_caller_key", NotRun, 401},
+	UnknownCallerKey:  {"unknown_caller_key", NotRun, 401},
+	MissingKey:        {"missing_key", NotRun, 400},
+	BodyTooLarge:      {"body_too_large", NotRun, 413},
+	TooManyForwards:   {"too_many_forwards", NotRun, 503},
+	DuplicateRequest:  {"duplicate_request", MayHaveRun, 409},
+	RateExceeded:      {"rate_exceeded", NotRun, 429},
+	Overloaded:        {"overloaded", NotRun, 503},
+	DeadlineInQueue:   {"deadline_in_queue", NotRun, 504},
+	CallerGone:        {"caller_gone", NotRun, 499},
+	NoTarget:          {"no_target", NotRun, 503},
+	NotOwner:          {"not_owner", NotRun, 503},
+	ShardUnassigned:   {"shard_unassigned", NotRun, 503},
+	CellUnreachable:   {"cell_unreachable", NotRun, 503},
+	NoLease:           {"no_lease", NotRun, 503},
+	DataCentreOut:     {"data_centre_out", NotRun, 503},
+	ConnectFailed:     {"connect_failed", NotRun, 502},
+	TargetRefused:     {"target_refused", NotRun, 503},
+	TargetTimeout:     {"target_timeout", MayHaveRun, 504},
+	ConnectionLost:    {"connection_lost", MayHaveRun, 502},
+	AnswerMismatch:    {"answer_mismatch", MayHaveRun, 502},
+	AnswerTooLarge:    {"answer_too_large", MayHaveRun, 502},
+	ForwardLost:       {"forward_lost", MayHaveRun, 502},
+	OutcomeUnknown:    {"outcome_unknown", MayHaveRun, 409},
+	VersionConflict:   {"version_conflict", NotRun, 409},
+	NoLeader:          {"no_leader", NotRun, 503},
+	Unauthenticated:   {"unauthenticated", NotRun, 401},
+	InvalidChange:     {"invalid_change", NotRun, 400},
+	NotFound:          {"not_found", NotRun, 404},
+	CommitUnknown:     {"commit_unknown", MayHaveRun, 503},
+	Starting:          {"starting", NotRun, 503},
+	Stopping:          {"stopping", NotRun, 503},
+	Internal:          {"internal", MayHaveRun, 500},
+	SettingsInvalid:   {"settings_invalid", NotRun, 400},
+	StorageCorrupt:    {"storage_corrupt", NotRun, 500},
+	StorageFailed:     {"storage_failed", MayHaveRun, 500},
+	CommandLineMisuse: {"command_line_misuse", NotRun, 400},
+}
+
+// Info returns the description of c; an unknown code reads as Internal.
+func (c Code) Info() Info {
+	if i, ok := infos[c]; ok {
+		return i
+	}
+	return infos[Internal]
+}
+
+// String returns the code's name.
+func (c Code) String() string { return c.Info().Name }
+
+// Codes returns all codes, for the docs' table and its test.
+func Codes() map[Code]Info {
+	all := make(map[Code]Info, len(infos))
+	for c, i := range infos {
+		all[c] = i
+	}
+	return all
+}
+
+// Error is a result code with its context. The zero value is not meaningful.
+type Error struct {
+	Code       Code
+	Ran        Ran
+	Detail     string
+	RetryAfter time.Duration // zero: no advice
+	Cause      error
+}
+
+// New returns an error with the class that the code has by default.
+func New(c Code, format string, args ...any) *Error {
+	return &Error{Code: c, Ran: c.Info().Ran, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an error of code c with a cause that errors.Is and errors.As
+// reach.
+func Wrap(c Code, cause error, format string, args ...any) *Error {
+	e := New(c, format, args...)
+	e.Cause = cause
+	return e
+}
+
+// Error renders number, name, class and detail.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("%d %s (%s): %s", e.Code, e.Code, e.Ran, e.Detail)
+	if e.Cause != nil {
+		s += ": " + e.Cause.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// From finds the typed error in err. Any other error becomes Internal with the
+// class "may have run", since nothing proves otherwise. From(nil) is nil.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(Internal, err, "unexpected error")
+}
+
+// CodeOf returns the code in err, OK for nil.
+func CodeOf(err error) Code {
+	if err == nil {
+		return OK
+	}
+	return From(err).Code
+}
