Build one path from end to end in the shape

Cause: each later part needs a running whole to be measured in. Change: a target announces itself, an operator creates a workspace, a caller key and a service by RPC, a caller's request goes through authentication, rate, route, slot and target and comes back whole. Registry, cell and quota are thin: one voter without a disk, a cell of one member, no division of rates.

--- /dev/null
+++ b/internal/config/command.go
@@ -0,0 +1,191 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/result"
+)
+
+// Command is one change that an operator asks for. Exactly one Change is set.
+type Command struct {
+	RequestID string       // resends carry the same id and get the first answer
+	Expected  core.Version // version the operator saw; 0: any
+	Change    Change
+}
+
+// Change is one of the Put and Delete types of this package.
+type Change interface {
+	// apply edits next, a copy of the state whose maps may be written.
+	apply(next *State) error
+}
+
+// PutDataCentre adds a data centre or changes its status.
+type PutDataCentre struct{ DataCentre DataCentre }
+
+// PutCell adds a cell or replaces its members; the epoch is set by the state.
+type PutCell struct {
+	Cell Cell
+	VMs  []VM
+}
+
+// PutWorkspace adds a workspace or replaces its limits.
+type PutWorkspace struct{ Workspace Workspace }
+
+// DeleteWorkspace removes a workspace and its caller keys.
+type DeleteWorkspace struct{ Name core.Workspace }
+
+// PutCallerKey grants a caller key.
+type PutCallerKey struct{ Key CallerKey }
+
+// DeleteCallerKey withdraws a caller key by its public identifier.
+type DeleteCallerKey struct{ ID string }
+
+// PutService adds a service or replaces its properties.
+type PutService struct{ Service Service }
+
+// DeleteService removes a service.
+type DeleteService struct{ Name core.Service }
+
+// Apply returns the state after c. The receiver stays as it is. A resend of an
+// answered request returns the receiver and no error.
+func (s *State) Apply(c Command) (*State, error) {
+	if _, ok := s.Answered[c.RequestID]; ok {
+		return s, nil
+	}
+	if c.Expected != 0 && c.Expected != s.Version {
+		return s, result.New(result.VersionConflict,
+			"version %d is in force, the change expects %d", s.Version, c.Expected)
+	}
+	next := s.clone()
+	if err := c.Change.apply(next); err != nil {
+		return s, fmt.Errorf("apply %T: %w", c.Change, err)
+	}
+	next.Version++
+	next.Answered[c.RequestID] = Answer{Version: next.Version}
+	return next, nil
+}
+
+func (s *State) clone() *State {
+	return &State{
+		Version:     s.Version,
+		DataCentres: maps.Clone(s.DataCentres),
+		Cells:       maps.Clone(s.Cells),
+		VMs:         maps.Clone(s.VMs),
+		Workspaces:  maps.Clone(s.Workspaces),
+		CallerKeys:  maps.Clone(s.CallerKeys),
+		Services:    maps.Clone(s.Services),
+		Homes:       maps.Clone(s.Homes),
+		Answered:    maps.Clone(s.Answered),
+	}
+}
+
+func (c PutDataCentre) apply(next *State) error {
+	if c.DataCentre.Name == "" {
+		return result.New(result.InvalidChange, "data centre without a name")
+	}
+	next.DataCentres[c.DataCentre.Name] = c.DataCentre
+	return nil
+}
+
+func (c PutCell) apply(next *State) error {
+	if _, ok := next.DataCentres[c.Cell.DataCentre]; !ok {
+		return result.New(result.InvalidChange, "cell %s: unknown data centre %s", c.Cell.Name, c.Cell.DataCentre)
+	}
+	cell := c.Cell
+	cell.Members = slices.Sorted(slices.Values(cell.Members))
+	cell.Epoch = next.Cells[cell.Name].Epoch + 1
+	next.Cells[cell.Name] = cell
+	for _, vm := range c.VMs {
+		vm.Cell = cell.Name
+		next.VMs[vm.Name] = vm
+	}
+	next.placeHomes()
+	return nil
+}
+
+func (c PutWorkspace) apply(next *State) error {
+	w := c.Workspace
+	if w.Name == "" || w.Rate < 0 || w.Burst < 0 {
+		return result.New(result.InvalidChange, "workspace %q: rate and burst must not be negative", w.Name)
+	}
+	next.Workspaces[w.Name] = w
+	return nil
+}
+
+func (c DeleteWorkspace) apply(next *State) error {
+	if _, ok := next.Workspaces[c.Name]; !ok {
+		return result.New(result.NotFound, "workspace %s", c.Name)
+	}
+	delete(next.Workspaces, c.Name)
+	maps.DeleteFunc(next.CallerKeys, func(_ KeyHash, k CallerKey) bool { return k.Workspace == c.Name })
+	return nil
+}
+
+func (c PutCallerKey) apply(next *State) error {
+	if _, ok := next.Workspaces[c.Key.Workspace]; !ok {
+		return result.New(result.InvalidChange, "caller key %s: unknown workspace %s", c.Key.ID, c.Key.Workspace)
+	}
+	next.CallerKeys[c.Key.Hash] = c.Key
+	return nil
+}
+
+func (c DeleteCallerKey) apply(next *State) error {
+	before := len(next.CallerKeys)
+	maps.DeleteFunc(next.CallerKeys, func(_ KeyHash, k CallerKey) bool { return k.ID == c.ID })
+	if len(next.CallerKeys) == before {
+		return result.New(result.NotFound, "caller key %s", c.ID)
+	}
+	return nil
+}
+
+func (c PutService) apply(next *State) error {
+	if c.Service.Name == "" {
+		return result.New(result.InvalidChange, "service without a name")
+	}
+	if c.Service.Keyed && c.Service.Shards == 0 {
+		return result.New(result.InvalidChange, "service %s: a keyed service needs shards", c.Service.Name)
+	}
+	next.Services[c.Service.Name] = c.Service
+	next.placeHomes()
+	return nil
+}
+
+func (c DeleteService) apply(next *State) error {
+	if _, ok := next.Services[c.Name]; !ok {
+		return result.New(result.NotFound, "service %s", c.Name)
+	}
+	delete(next.Services, c.Name)
+	delete(next.Homes, c.Name)
+	return nil
+}
+
+// placeHomes gives each shard without a valid home one, in turn over the cells
+// of the data centres that take work. Shards that have a home keep it.
+func (s *State) placeHomes() {
+	var cells []core.Cell
+	for name, c := range s.Cells {
+		if s.DataCentres[c.DataCentre].Status == DataCentreIn {
+			cells = append(cells, name)
+		}
+	}
+	slices.Sort(cells)
+	if len(cells) == 0 {
+		return
+	}
+	for name, svc := range s.Services {
+		if svc.Keyed && len(s.Homes[name].Home) != int(svc.Shards) {
+			s.Homes[name] = spreadHomes(cells, svc.Shards)
+		}
+	}
+}
+
+func spreadHomes(cells []core.Cell, shards uint32) ShardHomes {
+	h := ShardHomes{Cells: cells, Home: make([]uint16, shards)}
+	for i := range h.Home {
+		h.Home[i] = uint16(i % len(cells))
+	}
+	return h
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,148 @@
+// Package daemon assembles the tasks and edges of one process and supervises
+// them. It makes no decisions of its own.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/comfreynotch/comfreynotch/internal/cell"
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/dispatch"
+	"github.com/comfreynotch/comfreynotch/internal/innerproto"
+	"github.com/comfreynotch/comfreynotch/internal/membership"
+	"github.com/comfreynotch/comfreynotch/internal/quota"
+	"github.com/comfreynotch/comfreynotch/internal/registry"
+	"github.com/comfreynotch/comfreynotch/internal/serve"
+	"github.com/comfreynotch/comfreynotch/internal/settings"
+	"github.com/comfreynotch/comfreynotch/internal/task"
+	"github.com/comfreynotch/comfreynotch/internal/upstream"
+)
+
+// Daemon is one process of the system, assembled but not running.
+type Daemon struct {
+	settings  *settings.Settings
+	logger    log.Logger
+	root      *suture.Supervisor
+	listeners listeners
+
+	registry   *registry.Task
+	membership *membership.Task
+	cell       *cell.Task
+	dispatch   *dispatch.Task
+	quota      *quota.Task
+	pipeline   *serve.Server
+}
+
+// New checks the settings, binds every listener and assembles the tasks.
+func New(s *settings.Settings, logger log.Logger) (*Daemon, error) {
+	bound, err := bind(s.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("bind listeners: %w", err)
+	}
+	initial, err := bootstrapState(s)
+	if err != nil {
+		bound.close()
+		return nil, fmt.Errorf("first configuration: %w", err)
+	}
+	self := core.VM(s.VM)
+	d := &Daemon{settings: s, logger: logger, listeners: bound}
+	d.dispatch = dispatch.NewTask(self)
+	d.quota = quota.NewTask()
+	d.cell = cell.NewTask(self, core.Cell(s.Cell), d.dispatch.TableChanged)
+	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
+		_ = d.cell.Post(cell.TargetsChanged{View: v})
+	})
+	d.registry = registry.NewTask(initial, d.configChanged)
+	d.pipeline = &serve.Server{
+		Self:      self,
+		Config:    d.registry.State(),
+		Limiter:   d.quota,
+		Ownership: d.cell,
+		Slots:     d.dispatch,
+		Sender:    upstream.New(),
+		Forwarder: innerproto.NewForwarder(),
+	}
+	d.supervise()
+	return d, nil
+}
+
+// configChanged hands an accepted state to the tasks that act on it.
+func (d *Daemon) configChanged(s *config.State) {
+	d.quota.ConfigChanged(s)
+	_ = d.cell.Post(cell.ConfigChanged{State: s})
+}
+
+func (d *Daemon) supervise() {
+	d.root = task.NewSupervisor("comfreynotchd", func(event string) {
+		_ = level.Warn(d.logger).Log("msg", "task event", "event", event)
+	})
+	d.root.Add(d.dispatch)
+	d.root.Add(d.quota)
+	d.root.Add(d.cell)
+	d.root.Add(d.membership)
+	d.root.Add(d.registry)
+	for _, s := range d.servers() {
+		d.root.Add(s)
+	}
+}
+
+// Run serves until ctx ends.
+func (d *Daemon) Run(ctx context.Context) error {
+	_ = level.Info(d.logger).Log("msg", "serving", "callers", d.CallersAddress(), "operators", d.OperatorsAddress())
+	err := d.root.Serve(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// CallersAddress is the bound address of the callers' listener.
+func (d *Daemon) CallersAddress() string { return d.listeners.callers.Addr().String() }
+
+// TargetsAddress is the bound address on which targets announce themselves.
+func (d *Daemon) TargetsAddress() string { return d.listeners.targets.Addr().String() }
+
+// InnerAddress is the bound address for other daemons.
+func (d *Daemon) InnerAddress() string { return d.listeners.inner.Addr().String() }
+
+// OperatorsAddress is the bound address of the operators' calls.
+func (d *Daemon) OperatorsAddress() string { return d.listeners.operators.Addr().String() }
+
+type listeners struct{ callers, targets, inner, operators, metrics net.Listener }
+
+func bind(l settings.Listen) (listeners, error) {
+	var b listeners
+	for _, want := range []struct {
+		address string
+		bound   *net.Listener
+	}{
+		{l.Callers, &b.callers},
+		{l.Targets, &b.targets},
+		{l.Inner, &b.inner},
+		{l.Operators, &b.operators},
+		{l.Metrics, &b.metrics},
+	} {
+		ln, err := net.Listen("tcp", want.address)
+		if err != nil {
+			b.close()
+			return listeners{}, err
+		}
+		*want.bound = ln
+	}
+	return b, nil
+}
+
+func (b listeners) close() {
+	for _, l := range []net.Listener{b.callers, b.targets, b.inner, b.operators, b.metrics} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/servers.go
@@ -0,0 +1,58 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/comfreynotch/comfreynotch/api/operatorspb"
+	"github.com/comfreynotch/comfreynotch/internal/announce"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/gateway"
+	"github.com/comfreynotch/comfreynotch/internal/innerproto"
+	"github.com/comfreynotch/comfreynotch/internal/operators"
+	"github.com/comfreynotch/comfreynotch/internal/task"
+)
+
+const (
+	targetTTL         = 3 * time.Second
+	readHeaderTimeout = 5 * time.Second
+	shutdownTimeout   = 8 * time.Second
+)
+
+// servers returns one supervised task for each listener.
+func (d *Daemon) servers() []task.Service {
+	ops := operators.NewServer(core.VM(d.settings.VM), d.registry, d.cell)
+	return []task.Service{
+		httpTask("callers", d.listeners.callers, gateway.New(d.registry.State(), d.pipeline)),
+		httpTask("targets", d.listeners.targets, announce.Handler(d.membership)),
+		httpTask("inner", d.listeners.inner, innerproto.ForwardHandler(d.pipeline)),
+		httpTask("operators", d.listeners.operators, operatorspb.NewOperatorsServer(ops)),
+		httpTask("metrics", d.listeners.metrics, promhttp.Handler()),
+	}
+}
+
+// httpTask owns one listener and serves h on it until its context ends; then it
+// lets the requests in flight end.
+func httpTask(name string, l net.Listener, h http.Handler) task.Service {
+	return task.Func(name, func(ctx context.Context) error {
+		srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+		failed := make(chan error, 1)
+		go func() { failed <- srv.Serve(l) }()
+		select {
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+		}
+		grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		if err := srv.Shutdown(grace); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			return err
+		}
+		return ctx.Err()
+	})
+}
