--- /dev/null
+++ b/internal/storage/files.go
@@ -0,0 +1,135 @@
+package storage
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/google/renameio/v2"
+)
+
+// Files is the file system as a Store uses it.
+type Files interface {
+	// ReadFile returns a file's content, nothing if there is no such file.
+	ReadFile(name string) ([]byte, error)
+	// OpenLog cuts a file to size bytes, creating it if need be, makes both
+	// durable, and opens it for appending.
+	OpenLog(name string, size int64) (File, error)
+	// Replace writes a whole file: after a crash it holds the old content or
+	// the new one, after success the new one.
+	Replace(name string, data []byte) error
+}
+
+// File is an open log.
+type File interface {
+	Write(p []byte) (int, error)
+	Sync() error
+	Close() error
+}
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+// folder is one folder of the machine's file system.
+type folder string
+
+// Folder returns the files of one folder and makes it if it is not there.
+func Folder(path string) (Files, error) {
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return nil, err
+	}
+	f := folder(path)
+	return f, errors.Join(syncFolder(filepath.Dir(path)), f.sync())
+}
+
+func (f folder) path(name string) string { return filepath.Join(string(f), name) }
+
+func (f folder) sync() error { return syncFolder(string(f)) }
+
+// syncFolder makes the names in a folder durable.
+func syncFolder(path string) error {
+	d, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+// ReadFile implements Files.
+func (f folder) ReadFile(name string) ([]byte, error) {
+	data, err := os.ReadFile(f.path(name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	return data, err
+}
+
+// OpenLog implements Files.
+func (f folder) OpenLog(name string, size int64) (File, error) {
+	file, err := os.OpenFile(f.path(name), os.O_CREATE|os.O_WRONLY|os.O_APPEND, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	if err := errors.Join(file.Truncate(size), file.Sync(), f.sync()); err != nil {
+		file.Close()
+		return nil, err
+	}
+	return file, nil
+}
+
+// Replace implements Files. renameio syncs the file before the rename; the
+// folder's sync makes the rename durable.
+func (f folder) Replace(name string, data []byte) error {
+	if err := renameio.WriteFile(f.path(name), data, fileMode); err != nil {
+		return err
+	}
+	return f.sync()
+}
+
+// memory is a set of files that ends with the process.
+type memory map[string]*memoryFile
+
+type memoryFile struct{ data []byte }
+
+// Memory returns files for a lone daemon without a disk: they last as long as
+// the process.
+func Memory() Files { return memory{} }
+
+func (m memory) file(name string) *memoryFile {
+	if m[name] == nil {
+		m[name] = &memoryFile{}
+	}
+	return m[name]
+}
+
+// ReadFile implements Files.
+func (m memory) ReadFile(name string) ([]byte, error) { return m.file(name).data, nil }
+
+// OpenLog implements Files.
+func (m memory) OpenLog(name string, size int64) (File, error) {
+	f := m.file(name)
+	f.data = f.data[:size]
+	return f, nil
+}
+
+// Replace implements Files.
+func (m memory) Replace(name string, data []byte) error {
+	m.file(name).data = append([]byte(nil), data...)
+	return nil
+}
+
+// Write implements File.
+func (f *memoryFile) Write(p []byte) (int, error) {
+	f.data = append(f.data, p...)
+	return len(p), nil
+}
+
+// Sync implements File.
+func (f *memoryFile) Sync() error { return nil }
+
+// Close implements File.
+func (f *memoryFile) Close() error { return nil }
