Record events with a hybrid logical clock

Cause: when a router moves keys on its own, an operator needs to see what happened over all daemons, in one order, and why.

Change: package timeline holds the events, a hybrid logical clock, a bounded ring and the merge of several records; its recorder task owns them. Record and Refused never wait: an event that finds the mailbox full is dropped and counted. Refusals of one kind in a second become one event. Events name themselves (Ref) and what brought them about (Cause) by names such as "version 17" that need no coordination, and Merge puts a cause before its effects. Inner messages carry the clock in a header field, and innerproto gives a daemon's record to others.

Conclusion: every concern can take a timeline.Record and report its events.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/task"
+	"github.com/comfreynotch/comfreynotch/internal/timeline"
 	"github.com/comfreynotch/comfreynotch/internal/upstream"
 )
 
@@ -33,6 +34,7 @@
 	listeners listeners
 
 	registry   *registry.Task
+	recorder   *timeline.Recorder
 	membership *membership.Task
 	cell       *cell.Task
 	dispatch   *dispatch.Task
@@ -52,7 +54,7 @@
 		return nil, fmt.Errorf("first configuration: %w", err)
 	}
 	self := core.VM(s.VM)
-	d := &Daemon{settings: s, logger: logger, listeners: bound}
+	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s)}
 	d.dispatch = dispatch.NewTask(self)
 	d.quota = quota.NewTask()
 	d.cell = cell.NewTask(self, core.Cell(s.Cell), d.dispatch.TableChanged)
@@ -75,6 +77,7 @@
 
 // configChanged hands an accepted state to the tasks that act on it.
 func (d *Daemon) configChanged(s *config.State) {
+	d.recordConfiguration(s)
 	d.quota.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
 }
@@ -83,6 +86,7 @@
 	d.root = task.NewSupervisor("comfreynotchd", func(event string) {
 		_ = level.Warn(d.logger).Log("msg", "task event", "event", event)
 	})
+	d.root.Add(d.recorder)
 	d.root.Add(d.dispatch)
 	d.root.Add(d.quota)
 	d.root.Add(d.cell)
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -13,7 +13,6 @@
 	"github.com/comfreynotch/comfreynotch/internal/announce"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/gateway"
-	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
@@ -30,7 +29,7 @@
 	return []task.Service{
 		httpTask("callers", d.listeners.callers, gateway.New(d.registry.State(), d.pipeline)),
 		httpTask("targets", d.listeners.targets, announce.Handler(d.membership)),
-		httpTask("inner", d.listeners.inner, innerproto.ForwardHandler(d.pipeline)),
+		httpTask("inner", d.listeners.inner, d.innerHandler()),
 		httpTask("operators", d.listeners.operators, operatorspb.NewOperatorsServer(ops)),
 		httpTask("metrics", d.listeners.metrics, promhttp.Handler()),
 	}
--- /dev/null
+++ b/internal/daemon/timeline.go
@@ -0,0 +1,31 @@
+package daemon
+
+import (
+	"net/http"
+
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/innerproto"
+	"github.com/comfreynotch/comfreynotch/internal/settings"
+	"github.com/comfreynotch/comfreynotch/internal/timeline"
+)
+
+func newRecorder(s *settings.Settings) *timeline.Recorder {
+	return timeline.NewRecorder(core.VM(s.VM), core.DataCentre(s.DataCentre), func() {})
+}
+
+// recordConfiguration records that a configuration came into force here.
+func (d *Daemon) recordConfiguration(s *config.State) {
+	d.recorder.Record(timeline.Event{
+		Kind: timeline.ConfigurationChanged, Version: s.Version, Ref: timeline.VersionRef(s.Version),
+	})
+}
+
+// innerHandler serves other daemons: forwards, and the other calls of the inner
+// protocol by their path prefix.
+func (d *Daemon) innerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", innerproto.ForwardHandler(d.pipeline))
+	mux.Handle(innerproto.EventsPath, innerproto.EventsHandler(d.recorder))
+	return innerproto.WithStamps(d.recorder, mux)
+}
--- /dev/null
+++ b/internal/innerproto/events.go
@@ -0,0 +1,142 @@
+package innerproto
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/innerproto/innerpb"
+	"github.com/comfreynotch/comfreynotch/internal/result"
+	"github.com/comfreynotch/comfreynotch/internal/timeline"
+)
+
+// EventsPath is the path prefix of EventsHandler on the inner listener.
+const EventsPath = innerpb.EventsPathPrefix
+
+// Record gives out the events of this daemon.
+type Record interface {
+	Events(ctx context.Context, q timeline.Query) ([]timeline.Event, error)
+}
+
+// EventsHandler serves this daemon's record to other daemons.
+func EventsHandler(r Record) http.Handler { return innerpb.NewEventsServer(eventsServer{r}) }
+
+type eventsServer struct{ record Record }
+
+// Fetch answers a peer's query.
+func (s eventsServer) Fetch(ctx context.Context, q *innerpb.EventQuery) (*innerpb.EventRecord, error) {
+	events, err := s.record.Events(ctx, queryFromWire(q))
+	if err != nil {
+		return nil, err
+	}
+	record := &innerpb.EventRecord{Events: make([]*innerpb.RecordedEvent, len(events))}
+	for i, e := range events {
+		record.Events[i] = eventToWire(e)
+	}
+	return record, nil
+}
+
+// EventsClient fetches the records of other daemons.
+type EventsClient struct{ client *http.Client }
+
+// NewEventsClient returns a client that uses transport.
+func NewEventsClient(transport http.RoundTripper) *EventsClient {
+	return &EventsClient{client: &http.Client{Transport: transport}}
+}
+
+// Fetch returns the events of VM from that q selects.
+func (c *EventsClient) Fetch(ctx context.Context, from config.VM, q timeline.Query) ([]timeline.Event, error) {
+	remote := innerpb.NewEventsProtobufClient("http://"+from.InnerAddress, c.client)
+	record, err := remote.Fetch(ctx, queryToWire(q))
+	if err != nil {
+		return nil, fmt.Errorf("events of VM %s: %w", from.Name, err)
+	}
+	events := make([]timeline.Event, 0, len(record.GetEvents()))
+	for _, w := range record.GetEvents() {
+		e, err := eventFromWire(w)
+		if err != nil {
+			return nil, fmt.Errorf("events of VM %s: %w", from.Name, err)
+		}
+		events = append(events, e)
+	}
+	return events, nil
+}
+
+func queryToWire(q timeline.Query) *innerpb.EventQuery {
+	w := &innerpb.EventQuery{
+		FromMicros: microsOf(q.From), ToMicros: microsOf(q.To), Target: string(q.Target),
+		DataCentre: string(q.DataCentre), Service: string(q.Service), Limit: int32(q.Limit),
+	}
+	if q.Shard != nil {
+		shard := uint32(*q.Shard)
+		w.Shard = &shard
+	}
+	return w
+}
+
+func queryFromWire(w *innerpb.EventQuery) timeline.Query {
+	q := timeline.Query{
+		From: timeOf(w.GetFromMicros()), To: timeOf(w.GetToMicros()), Target: core.TargetID(w.GetTarget()),
+		DataCentre: core.DataCentre(w.GetDataCentre()), Service: core.Service(w.GetService()), Limit: int(w.GetLimit()),
+	}
+	if w.Shard != nil {
+		shard := core.Shard(w.GetShard())
+		q.Shard = &shard
+	}
+	return q
+}
+
+func microsOf(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMicro()
+}
+
+func timeOf(micros int64) time.Time {
+	if micros == 0 {
+		return time.Time{}
+	}
+	return time.UnixMicro(micros).UTC()
+}
+
+func eventToWire(e timeline.Event) *innerpb.RecordedEvent {
+	w := &innerpb.RecordedEvent{
+		Vm: string(e.VM), Seq: e.Seq, StampMicros: e.Stamp.Micros, StampLogical: e.Stamp.Logical,
+		Kind: string(e.Kind), DataCentre: string(e.DataCentre), Cell: string(e.Cell), Service: string(e.Service),
+		Target: string(e.Target), Workspace: string(e.Workspace), Version: uint64(e.Version),
+		Code: uint32(e.Code), Count: e.Count, Ref: e.Ref, Cause: e.Cause, Detail: e.Detail,
+	}
+	if e.Shards.Any {
+		first := uint32(e.Shards.First)
+		w.FirstShard, w.LastShard = &first, uint32(e.Shards.Last)
+	}
+	if !e.Fence.IsZero() {
+		w.Fence = e.Fence.String()
+	}
+	return w
+}
+
+func eventFromWire(w *innerpb.RecordedEvent) (timeline.Event, error) {
+	e := timeline.Event{
+		VM: core.VM(w.GetVm()), Seq: w.GetSeq(), Stamp: timeline.Stamp{Micros: w.GetStampMicros(), Logical: w.GetStampLogical()},
+		Kind: timeline.Kind(w.GetKind()), DataCentre: core.DataCentre(w.GetDataCentre()), Cell: core.Cell(w.GetCell()),
+		Service: core.Service(w.GetService()), Target: core.TargetID(w.GetTarget()),
+		Workspace: core.Workspace(w.GetWorkspace()), Version: core.Version(w.GetVersion()),
+		Code: result.Code(w.GetCode()), Count: w.GetCount(), Ref: w.GetRef(), Cause: w.GetCause(), Detail: w.GetDetail(),
+	}
+	if w.FirstShard != nil {
+		e.Shards = timeline.Span{Any: true, First: core.Shard(w.GetFirstShard()), Last: core.Shard(w.GetLastShard())}
+	}
+	if w.GetFence() != "" {
+		f, err := core.ParseFence(w.GetFence())
+		if err != nil {
+			return timeline.Event{}, err
+		}
+		e.Fence = f
+	}
+	return e, nil
+}
