Make the stand-in a task with grants, cold start and spoiled answers

Cause: the stand-in answered every request well, so nothing could be shown about cold starts, fences or broken answers, and the cells had no server to grant shards to.

Change: a model (pure) of slots, a warm-up that collapses under work above its ramp, grants with and without a check of fences, false load reports, spoiled answers and silent connections; a task owns it and answers nothing while it is frozen; the HTTP edge speaks the target protocol. It keeps each run and each tenure of a shard for the oracles.

Conclusion: the unit tests hold the two properties that later oracles rest on: old fences are refused, and work above the ramp costs the warm-up.

--- a/bench/faketarget/target.go
+++ b/bench/faketarget/target.go
@@ -1,106 +1,242 @@
 // Package faketarget is a stand-in for the users' targets: it announces itself,
-// answers requests, and can be told to misbehave.
+// accepts grants, answers requests, and can be told to misbehave. Decisions:
+// model.go and grants.go. Task: task.go, which owns the model. Edge: target.go,
+// the HTTP endpoints and the announcements.
 package faketarget
 
 import (
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/announce"
+	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/upstream"
 )
 
-const announcePeriod = 500 * time.Millisecond
+const (
+	announcePeriod  = 500 * time.Millisecond
+	announceTimeout = 400 * time.Millisecond
+	// maxLongAnswer bounds the length that a request can ask for, in bytes.
+	maxLongAnswer = 64 << 20
+)
 
-// Options describe one stand-in.
-type Options struct {
-	ID         string
-	Service    string
-	DataCentre string
-	Slots      int
-	Daemons    []string      // targets' listeners of daemons, host:port
-	Work       time.Duration // time that one request takes
-}
+type connectionKey struct{}
 
-// Target is one stand-in, bound but not running.
-type Target struct {
-	options  Options
-	listener net.Listener
+func (t *Target) server(ctx context.Context) *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /comfreynotch/v1/grants", t.takeGrants)
+	mux.HandleFunc("GET /comfreynotch/v1/grants", t.listGrants)
+	mux.HandleFunc("GET /comfreynotch/v1/load", t.reportLoad)
+	mux.HandleFunc("/", t.serve)
+	var last connection
+	return &http.Server{
+		Handler: mux,
+		// ConnContext runs on the accepting goroutine, so that the cost of a
+		// connection delays the next one.
+		ConnContext: func(base context.Context, c net.Conn) context.Context {
+			wait(ctx, t.options.ConnectionCost)
+			last++
+			number := last
+			t.tell(func(m *model, _ time.Time) { m.connected(number) })
+			return context.WithValue(base, connectionKey{}, number)
+		},
+	}
 }
 
-// New binds a stand-in to a loopback port.
-func New(o Options) (*Target, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("fake target %s: %w", o.ID, err)
+// wait returns after d, or false at the end of ctx.
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return &Target{options: o, listener: l}, nil
 }
 
-// Run announces and serves until ctx ends.
-func (t *Target) Run(ctx context.Context) error {
-	srv := &http.Server{Handler: http.HandlerFunc(t.serve)}
-	failed := make(chan error, 1)
-	go func() { failed <- srv.Serve(t.listener) }()
-	defer srv.Close()
+// announceUntil posts the announcement to every daemon of the options.
+func (t *Target) announceUntil(ctx context.Context) {
+	client := &http.Client{Timeout: announceTimeout, Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
 	ticker := time.NewTicker(announcePeriod)
 	defer ticker.Stop()
 	for {
-		t.announce(ctx)
+		a, err := t.announcement(ctx)
+		if err != nil {
+			return
+		}
+		for _, d := range t.options.Daemons {
+			post(ctx, client, d, a)
+		}
 		select {
 		case <-ctx.Done():
-			return nil
-		case err := <-failed:
-			return err
+			return
 		case <-ticker.C:
 		}
 	}
 }
 
-func (t *Target) announce(ctx context.Context) {
-	body, err := json.Marshal(announce.Announcement{
-		ID: t.options.ID, Service: t.options.Service, DataCentre: t.options.DataCentre,
-		Address: t.listener.Addr().String(), Incarnation: 1, Slots: t.options.Slots, Connections: 120,
-	})
+func post(ctx context.Context, client *http.Client, daemon string, a announce.Announcement) {
+	body, err := json.Marshal(a)
 	if err != nil {
 		return
 	}
-	for _, d := range t.options.Daemons {
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d+"/v1/announce", bytes.NewReader(body))
-		if err != nil {
-			continue
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err == nil {
-			resp.Body.Close()
-		}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+daemon+"/v1/announce", bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+}
+
+func (t *Target) reportLoad(w http.ResponseWriter, r *http.Request) {
+	load, err := ask(r.Context(), t, (*model).load)
+	if err == nil {
+		writeJSON(w, http.StatusOK, load)
 	}
 }
 
+// serve owns one request from its arrival to its answer.
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	select {
-	case <-time.After(t.options.Work):
-	case <-r.Context().Done():
+	run := t.runOf(r, string(body))
+	number, _ := r.Context().Value(connectionKey{}).(connection)
+	v, err := ask(r.Context(), t, func(m *model, now time.Time) verdict { return m.begin(number, run, now) })
+	if err != nil {
 		return
 	}
-	w.Header().Set(upstream.HeaderRequestID, r.Header.Get(upstream.HeaderRequestID))
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]string{
-		"target":        t.options.ID,
-		"workspace":     r.Header.Get(upstream.HeaderWorkspace),
-		"key":           r.Header.Get(upstream.HeaderKey),
-		"authorization": r.Header.Get("Authorization"),
-		"path":          r.URL.String(),
-		"body":          string(body),
+	switch {
+	case v.silent:
+		<-r.Context().Done()
+		return
+	case v.refused:
+		notRun(w, run.RequestID, http.StatusConflict)
+		return
+	case v.shed:
+		notRun(w, run.RequestID, http.StatusServiceUnavailable)
+		return
+	}
+	finished := wait(r.Context(), v.work)
+	_, err = ask(context.WithoutCancel(r.Context()), t, func(m *model, now time.Time) struct{} {
+		m.end(v.run, !finished, now)
+		return struct{}{}
 	})
+	if finished && err == nil {
+		t.answer(w, r, run, v)
+	}
+}
+
+func (t *Target) runOf(r *http.Request, body string) Run {
+	fence, _ := core.ParseFence(r.Header.Get(upstream.HeaderFence))
+	return Run{
+		Target: t.ID(), Service: core.Service(t.options.Service),
+		RequestID:      core.RequestID(r.Header.Get(upstream.HeaderRequestID)),
+		IdempotencyKey: r.Header.Get("Idempotency-Key"),
+		Workspace:      core.Workspace(r.Header.Get(upstream.HeaderWorkspace)),
+		Key:            r.Header.Get(upstream.HeaderKey),
+		Fence:          fence,
+		Body:           body,
+		SawCallerKey:   r.Header.Get("Authorization") != "",
+	}
+}
+
+func notRun(w http.ResponseWriter, id core.RequestID, status int) {
+	w.Header().Set(upstream.HeaderRequestID, string(id))
+	w.Header().Set(upstream.HeaderNotRun, "1")
+	w.WriteHeader(status)
+}
+
+// Answer is the document with which a stand-in answers a request.
+type Answer struct {
+	Target        string `json:"target"`
+	Workspace     string `json:"workspace"`
+	Key           string `json:"key"`
+	Authorization string `json:"authorization"`
+	Path          string `json:"path"`
+	Body          string `json:"body"`
+	RequestID     string `json:"request_id"`
+	Padding       string `json:"padding,omitempty"`
+}
+
+// answer writes what the run returns, with the fault that the verdict holds. A
+// query field "length" asks for that many bytes of padding.
+func (t *Target) answer(w http.ResponseWriter, r *http.Request, run Run, v verdict) {
+	id := run.RequestID
+	a := Answer{
+		Target: t.options.ID, Workspace: string(run.Workspace), Key: run.Key,
+		Authorization: r.Header.Get("Authorization"), Path: r.URL.String(), Body: run.Body,
+	}
+	if n, err := strconv.Atoi(r.URL.Query().Get("length")); err == nil && n > 0 && n <= maxLongAnswer {
+		a.Padding = strings.Repeat("x", n)
+	}
+	switch v.fault {
+	case AnswerLate:
+		if !wait(r.Context(), v.lateBy) {
+			return
+		}
+	case AnswerCrossed:
+		id = v.crossed
+	case AnswerMislabeled:
+		id = "mislabeled-" + id
+	case AnswerLost:
+		panic(http.ErrAbortHandler)
+	}
+	a.RequestID = string(id)
+	data, err := json.Marshal(a)
+	if err != nil {
+		return
+	}
+	if v.fault == AnswerDoubled {
+		writeTwice(w, id, data)
+		return
+	}
+	w.Header().Set(upstream.HeaderRequestID, string(id))
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if v.fault == AnswerCut {
+		_, _ = w.Write(data[:len(data)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(data)
+}
+
+// writeTwice sends the same answer two times on one connection.
+func writeTwice(w http.ResponseWriter, id core.RequestID, data []byte) {
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	conn, _, err := hijacker.Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	head := "HTTP/1.1 200 OK\r\n" + upstream.HeaderRequestID + ": " + string(id) +
+		"\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(data)) + "\r\n\r\n"
+	one := append([]byte(head), data...)
+	_, _ = conn.Write(append(one, one...))
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
 }
--- /dev/null
+++ b/bench/faketarget/target_test.go
@@ -0,0 +1,51 @@
+package faketarget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreynotch/comfreynotch/internal/core"
+)
+
+var epochStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func fence(counter uint64) core.Fence { return core.Fence{Epoch: 1, Ballot: 1, Counter: counter} }
+
+// TestGrantsRefuseOldFences holds "a key has at most one owning server": the
+// stand-in must refuse what a checking server refuses, or the fuzzing proves
+// nothing.
+func TestGrantsRefuseOldFences(t *testing.T) {
+	is := is.New(t)
+	g := newGrants("t1", true)
+	add := func(c uint64) GrantOrder {
+		return GrantOrder{Service: "s", Holder: fence(c), TTL: time.Second, Add: []ShardFence{{3, fence(c)}}}
+	}
+	_, ok := g.apply(add(5), epochStart)
+	is.True(ok)
+	is.True(g.allows("s", 3, fence(5), epochStart))
+	is.True(!g.allows("s", 3, fence(4), epochStart))                  // an older fence
+	is.True(!g.allows("s", 3, fence(5), epochStart.Add(time.Second))) // the grant ran out
+	newer, ok := g.apply(add(4), epochStart)                          // an older holder
+	is.True(!ok && newer == fence(5))                                 // names the newer fence
+	_, ok = g.apply(GrantOrder{Service: "s", Holder: fence(6), TTL: time.Second, Remove: []ShardFence{{3, fence(6)}}}, epochStart)
+	is.True(ok)
+	is.True(!g.allows("s", 3, fence(6), epochStart))
+	is.Equal(len(g.tenures()), 1)
+}
+
+// TestColdStandInCollapses holds that the stand-in punishes work above its ramp.
+func TestColdStandInCollapses(t *testing.T) {
+	is := is.New(t)
+	m := newModel(Options{ID: "t1", Slots: 4, Work: time.Millisecond, WarmUp: time.Second})
+	m.cold(epochStart)
+	first := m.begin(0, Run{}, epochStart)
+	second := m.begin(0, Run{}, epochStart)
+	is.Equal(first.work, time.Millisecond)
+	is.Equal(second.work, collapseFactor*time.Millisecond)
+	is.Equal(m.summary().Collapses, 1)
+	m.end(first.run, false, epochStart)
+	m.end(second.run, false, epochStart)
+	is.Equal(m.begin(0, Run{}, epochStart.Add(time.Second)).work, time.Millisecond) // warm again
+}
