Hand rates down a tree of token sources

Change: daemons draw tokens from their cell's source, which has a durable floor and draws the rest from the system's source. A token is spent when it leaves a bucket. New cells get a floor once the others divide with them.

--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -31,6 +31,10 @@
 	VMs  []VM
 }
 
+// ActivateFloor lets a new cell use its durable shares of rates. The leader
+// proposes it once every other cell has the division with the new cell in force.
+type ActivateFloor struct{ Cell core.Cell }
+
 // PutWorkspace adds a workspace or replaces its limits.
 type PutWorkspace struct{ Workspace Workspace }
 
@@ -96,7 +100,9 @@
 	}
 	cell := c.Cell
 	cell.Members = slices.Sorted(slices.Values(cell.Members))
-	cell.Epoch = next.Cells[cell.Name].Epoch + 1
+	prev, known := next.Cells[cell.Name]
+	cell.Epoch = prev.Epoch + 1
+	cell.FloorPending = prev.FloorPending || !known && len(next.Workspaces) > 0
 	next.Cells[cell.Name] = cell
 	for _, vm := range c.VMs {
 		vm.Cell = cell.Name
@@ -106,6 +112,16 @@
 	return nil
 }
 
+func (c ActivateFloor) apply(next *State) error {
+	cell, ok := next.Cells[c.Cell]
+	if !ok {
+		return result.New(result.NotFound, "cell %s", c.Cell)
+	}
+	cell.FloorPending = false
+	next.Cells[c.Cell] = cell
+	return nil
+}
+
 func (c PutWorkspace) apply(next *State) error {
 	w := c.Workspace
 	if w.Name == "" || w.Rate < 0 || w.Burst < 0 {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -42,6 +42,9 @@
 	DataCentre core.DataCentre
 	Members    []core.VM  // sorted
 	Epoch      core.Epoch // raised at each change of Members
+	// FloorPending is set on a new cell until every other cell has stopped using
+	// the larger floors of the division without it.
+	FloorPending bool
 }
 
 // VM is one VM of the system.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -56,12 +57,12 @@
 	self := core.VM(s.VM)
 	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s)}
 	d.dispatch = dispatch.NewTask(self)
-	d.quota = quota.NewTask()
 	d.cell = cell.NewTask(self, core.Cell(s.Cell), d.dispatch.TableChanged)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
 	d.registry = registry.NewTask(initial, d.configChanged)
+	d.quota = quota.NewTask(self, core.Cell(s.Cell), authority{self: self}, innerproto.NewQuotaClient(http.DefaultClient), d.registry)
 	d.pipeline = &serve.Server{
 		Self:      self,
 		Config:    d.registry.State(),
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -26,6 +26,7 @@
 func (d *Daemon) innerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", innerproto.ForwardHandler(d.pipeline))
+	mux.Handle(innerproto.QuotaPathPrefix, innerproto.QuotaHandler(d.quota))
 	mux.Handle(innerproto.EventsPath, innerproto.EventsHandler(d.recorder))
 	return innerproto.WithStamps(d.recorder, mux)
 }
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -1,15 +1,22 @@
-// Package quota keeps each workspace within its rate and burst, counted over
-// all VMs together. Decisions: bucket.go. Task: task.go, which owns the buckets.
 package quota
 
 import "time"
 
 // Bucket is a token bucket. Its zero value is empty and never fills.
+//
+// Invariant: over any interval t, the tokens that leave it are at most
+// rate*t + burst, whatever the calls' order, since it fills by elapsed time
+// only and never above burst.
 type Bucket struct {
 	rate   float64 // tokens a second
 	burst  float64 // most tokens it holds
 	tokens float64
-	at     time.Time // when tokens was right
+	at     time.Time // up to when it was filled
+}
+
+// NewBucket returns an empty bucket that fills from now on.
+func NewBucket(rate, burst float64, now time.Time) Bucket {
+	return Bucket{rate: rate, burst: burst, at: now}
 }
 
 // SetRate changes the rate and burst from now on. Tokens above the new burst
@@ -20,15 +27,22 @@
 	b.tokens = min(b.tokens, burst)
 }
 
-// Take removes one token. Without one it returns how long one takes to come.
-func (b *Bucket) Take(now time.Time) (wait time.Duration, ok bool) {
+// Take removes up to n tokens and returns how many.
+func (b *Bucket) Take(n int, now time.Time) int {
 	b.fill(now)
+	got := min(n, int(b.tokens))
+	b.tokens -= float64(got)
+	return got
+}
+
+// NextToken is the time until the bucket holds a whole token; never is true
+// when it does not fill.
+func (b *Bucket) NextToken() (wait time.Duration, never bool) {
 	if b.tokens >= 1 {
-		b.tokens--
-		return 0, true
+		return 0, false
 	}
-	if b.rate <= 0 {
-		return time.Minute, false
+	if b.rate <= 0 || b.burst < 1 {
+		return 0, true
 	}
 	return time.Duration((1 - b.tokens) / b.rate * float64(time.Second)), false
 }
--- a/internal/quota/task.go
+++ b/internal/quota/task.go
@@ -10,41 +10,150 @@
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
 
-const mailboxSize = 4096
+const (
+	mailboxSize  = 8192
+	advanceAfter = 5 * time.Millisecond // while requests wait or a source owes tokens
+)
+
+// Term is the authority over one level's source. Terms of one level never
+// overlap: From of the next is after Until of the last.
+type Term struct {
+	Holder core.VM // empty: unknown
+	Number uint64
+	From   time.Time // of this daemon's own term
+	Until  time.Time // of this daemon's own term
+}
+
+// Authority tells who holds the sources. Its methods only read snapshots.
+type Authority interface {
+	Coordinator() Term // of this daemon's cell
+	Leader() Term      // of the registry
+}
+
+// Level is a level of the tree that answers draws.
+type Level uint8
+
+// The levels with a source.
+const (
+	CellLevel   Level = iota + 1 // asked by the cell's daemons
+	SystemLevel                  // asked by the cells' coordinators
+)
+
+// Draw asks the source of one level.
+type Draw struct {
+	Level   Level
+	Cell    core.Cell    // of the asker
+	Version core.Version // of the configuration in force at the asker
+	Wants   []Want
+}
+
+// Peers asks other daemons for tokens.
+type Peers interface {
+	Draw(ctx context.Context, to config.VM, d Draw) ([]Supply, error)
+}
+
+// Registry takes the command that activates a new cell's floor.
+type Registry interface {
+	Propose(ctx context.Context, c config.Command) (*config.State, error)
+}
 
 type message interface{ isMessage() }
 
 type admit struct {
 	workspace core.Workspace
-	reply     task.Reply[error]
+	reply     task.Reply[*result.Error]
+}
+
+type drawAsked struct {
+	draw  Draw
+	reply task.Reply[drawAnswer]
+}
+
+type drawAnswer struct {
+	supplies []Supply
+	err      *result.Error
+}
+
+type drawDone struct {
+	level    Level
+	supplies []Supply
+	err      error
 }
 
 type configChanged struct{ state *config.State }
 
 func (admit) isMessage()         {}
+func (drawAsked) isMessage()     {}
+func (drawDone) isMessage()      {}
 func (configChanged) isMessage() {}
 
-// Task owns this daemon's buckets.
+// Task owns this daemon's admission, and the sources of the levels that it
+// holds authority over.
 type Task struct {
-	mailbox task.Mailbox[message]
-	buckets map[core.Workspace]*Bucket
+	self      core.VM
+	cellName  core.Cell
+	authority Authority
+	peers     Peers
+	registry  Registry
+	mailbox   task.Mailbox[message]
+
+	division  Division
+	state     *config.State
+	admission *Admission
+	replies   map[Ticket]task.Reply[*result.Error]
+	next      Ticket
+	cell      held
+	system    held
+	acks      floorAcks
+	drawing   map[Level]bool
 }
 
-// NewTask returns a task without buckets.
-func NewTask() *Task {
-	return &Task{
-		mailbox: task.NewMailbox[message]("quota", mailboxSize),
-		buckets: map[core.Workspace]*Bucket{},
+// held is the source of one level during one own term.
+type held struct {
+	term   uint64
+	source *Source // nil: this daemon has no authority over the level
+
+	// pending are the draws that wait for the level above.
+	pending []pendingDraw
+}
+
+// NewTask returns a task without tokens for daemon self of the given cell.
+func NewTask(self core.VM, cell core.Cell, a Authority, p Peers, r Registry) *Task {
+	t := &Task{
+		self: self, cellName: cell, authority: a, peers: p, registry: r,
+		mailbox:   task.NewMailbox[message]("quota", mailboxSize),
+		state:     config.NewState(),
+		admission: NewAdmission(DefaultDivision()),
+		replies:   map[Ticket]task.Reply[*result.Error]{},
+		drawing:   map[Level]bool{},
+		acks:      newFloorAcks(),
 	}
+	return t
 }
 
-// Admit takes one token of the workspace, or refuses with RateExceeded.
+// Admit takes one token of the workspace; it may wait shortly for one. It
+// refuses with RateExceeded, not run.
 func (t *Task) Admit(ctx context.Context, w core.Workspace) error {
-	refusal, err := task.Ask(ctx, t.mailbox, func(r task.Reply[error]) message { return admit{w, r} })
+	refusal, err := task.Ask(ctx, t.mailbox, func(r task.Reply[*result.Error]) message { return admit{w, r} })
 	if err != nil {
-		return err
+		return result.Wrap(result.CallerGone, err, "waiting for a token of workspace %s", w)
+	}
+	if refusal != nil {
+		return refusal
 	}
-	return refusal
+	return nil
+}
+
+// Draw answers another daemon's draw.
+func (t *Task) Draw(ctx context.Context, d Draw) ([]Supply, error) {
+	a, err := task.Ask(ctx, t.mailbox, func(r task.Reply[drawAnswer]) message { return drawAsked{d, r} })
+	if err != nil {
+		return nil, err
+	}
+	if a.err != nil {
+		return nil, a.err
+	}
+	return a.supplies, nil
 }
 
 // ConfigChanged delivers the state in force.
@@ -52,12 +161,19 @@
 
 // Serve runs the task until ctx ends.
 func (t *Task) Serve(ctx context.Context) error {
+	timer := time.NewTimer(advanceAfter)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case m := <-t.mailbox.C():
 			t.handle(m, time.Now())
+		case <-timer.C:
+		}
+		t.advance(ctx, time.Now())
+		if t.admission.Waiting() {
+			timer.Reset(advanceAfter)
 		}
 	}
 }
@@ -65,38 +181,41 @@
 func (t *Task) handle(m message, now time.Time) {
 	switch m := m.(type) {
 	case admit:
-		m.reply.Answer(t.admit(m.workspace, now))
+		t.admit(m, now)
+	case drawAsked:
+		t.answer(m.draw, now, m.reply.Answer)
+	case drawDone:
+		t.drawn(m, now)
 	case configChanged:
-		t.update(m.state, now)
+		t.state = m.state
+		t.admission.SetState(m.state)
+		t.shareOut(now)
 	}
 }
 
-func (t *Task) admit(w core.Workspace, now time.Time) error {
-	b := t.buckets[w]
-	if b == nil {
-		return result.New(result.RateExceeded, "workspace %s has no rate", w)
+func (t *Task) admit(m admit, now time.Time) {
+	t.next++
+	v, done := t.admission.Admit(t.next, m.workspace, now)
+	if done {
+		m.reply.Answer(v.Err)
+		return
 	}
-	wait, ok := b.Take(now)
-	if ok {
-		return nil
+	t.replies[t.next] = m.reply
+}
+
+func (t *Task) deliver(verdicts []Verdict) {
+	for _, v := range verdicts {
+		t.replies[v.Ticket].Answer(v.Err)
+		delete(t.replies, v.Ticket)
 	}
-	e := result.New(result.RateExceeded, "workspace %s is over its rate", w)
-	e.RetryAfter = wait
-	return e
 }
 
-func (t *Task) update(s *config.State, now time.Time) {
-	for name, w := range s.Workspaces {
-		b := t.buckets[name]
-		if b == nil {
-			b = &Bucket{at: now}
-			t.buckets[name] = b
-		}
-		b.SetRate(w.Rate, w.Burst, now)
+// shareOut gives the sources the shares of the state in force.
+func (t *Task) shareOut(now time.Time) {
+	if t.cell.source != nil {
+		t.cell.source.SetShares(t.division.Cell(t.state, t.cellName), now)
 	}
-	for name := range t.buckets {
-		if _, ok := s.Workspaces[name]; !ok {
-			delete(t.buckets, name)
-		}
+	if t.system.source != nil {
+		t.system.source.SetShares(t.division.System(t.state), now)
 	}
 }
--- /dev/null
+++ b/internal/quota/tree_test.go
@@ -0,0 +1,267 @@
+package quota
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// tree is a whole tree of sources over pure values: one system source, cells,
+// and two daemons in each cell.
+type tree struct {
+	division Division
+	state    *config.State
+	now      time.Time
+	system   *Source
+	cells    []*Source
+	daemons  [][]*Admission
+	cut      map[int]bool // cells that cannot reach the system
+	next     Ticket
+	refused  func(Ticket) // nil: not asked for
+
+	admitted int
+	log      []time.Time // of every admission
+}
+
+func newTree(cells int, rate, burst float64) *tree {
+	return newDividedTree(DefaultDivision(), cells, rate, burst)
+}
+
+func newDividedTree(d Division, cells int, rate, burst float64) *tree {
+	t := &tree{division: d, now: time.Unix(0, 0), state: config.NewState(), cut: map[int]bool{}}
+	for c := range cells {
+		name := core.Cell(fmt.Sprint("c", c))
+		t.state.Cells[name] = config.Cell{Name: name, Members: []core.VM{core.VM(fmt.Sprint(c, "a")), core.VM(fmt.Sprint(c, "b"))}}
+	}
+	t.state.Workspaces["w"] = config.Workspace{Name: "w", Rate: rate, Burst: burst}
+	t.restartSystem()
+	for c := range cells {
+		t.cells = append(t.cells, nil)
+		t.daemons = append(t.daemons, make([]*Admission, 2))
+		t.restartCell(c)
+		t.restartDaemon(c, 0)
+		t.restartDaemon(c, 1)
+	}
+	return t
+}
+
+func (t *tree) restartSystem() {
+	t.system = NewSource(false)
+	t.system.SetShares(t.division.System(t.state), t.now)
+}
+
+func (t *tree) restartCell(c int) {
+	t.cells[c] = NewSource(true)
+	t.cells[c].SetShares(t.division.Cell(t.state, core.Cell(fmt.Sprint("c", c))), t.now)
+}
+
+func (t *tree) restartDaemon(c, d int) {
+	t.daemons[c][d] = NewAdmission(t.division)
+	t.daemons[c][d].SetState(t.state)
+}
+
+// admit offers a request and lets the tree settle. lose drops the answer of the
+// cell's draw from the system.
+func (t *tree) admit(c, d int, lose bool) {
+	t.next++
+	a := t.daemons[c][d]
+	if v, done := a.Admit(t.next, "w", t.now); done {
+		t.count([]Verdict{v})
+		return
+	}
+	t.settle(c, d, lose)
+}
+
+func (t *tree) settle(c, d int, lose bool) {
+	a, cell := t.daemons[c][d], t.cells[c]
+	wants := a.Wants(t.now)
+	if len(wants) == 0 {
+		return
+	}
+	supplies := cell.Supply(wants, t.now)
+	if up := cell.Wants(t.now); len(up) > 0 {
+		switch {
+		case t.cut[c]:
+			cell.DrawFailed(t.now)
+		case lose:
+			t.system.Supply(up, t.now)
+			cell.DrawFailed(t.now)
+		default:
+			cell.Receive(t.system.Supply(up, t.now), t.now)
+			supplies = merge(supplies, cell.Supply(missing(wants, supplies), t.now))
+			cell.Trim()
+		}
+	}
+	t.count(a.Receive(supplies, t.now))
+}
+
+// giveUp draws for requests that no longer wait when the answer comes: at the
+// daemon, or, with below unset, at the cell.
+func (t *tree) giveUp(c, d int, below bool) {
+	a, cell := t.daemons[c][d], t.cells[c]
+	for range 50 {
+		t.next++
+		if v, done := a.Admit(t.next, "w", t.now); done {
+			t.count([]Verdict{v})
+		}
+	}
+	wants := a.Wants(t.now)
+	supplies := cell.Supply(wants, t.now)
+	if up := cell.Wants(t.now); len(up) > 0 {
+		cell.Receive(t.system.Supply(up, t.now), t.now)
+		if below {
+			supplies = merge(supplies, cell.Supply(missing(wants, supplies), t.now))
+		}
+		cell.Trim()
+	}
+	t.count(a.Expire(t.now.Add(unreachableWait)))
+	if below {
+		t.count(a.Receive(supplies, t.now))
+	}
+}
+
+func (t *tree) count(verdicts []Verdict) {
+	for _, v := range verdicts {
+		if v.Err == nil {
+			t.admitted++
+			t.log = append(t.log, t.now)
+		} else if t.refused != nil {
+			t.refused(v.Ticket)
+		}
+	}
+}
+
+func (t *tree) advance(d time.Duration) {
+	t.now = t.now.Add(d)
+	for c := range t.daemons {
+		for d, a := range t.daemons[c] {
+			t.count(a.Expire(t.now))
+			t.settle(c, d, false)
+		}
+	}
+}
+
+// overRate returns whether any window of the log holds more than the rate and
+// burst allow: a reference bucket that starts full must never run dry.
+func overRate(log []time.Time, rate, burst float64) error {
+	tokens, at := burst, time.Unix(0, 0)
+	for i, when := range log {
+		tokens = min(burst, tokens+when.Sub(at).Seconds()*rate) - 1
+		at = when
+		if tokens < -1e-6 {
+			return fmt.Errorf("admission %d at %v is %.3f over", i, when.Sub(time.Unix(0, 0)), -tokens)
+		}
+	}
+	return nil
+}
+
+// TestNeverOverRate holds "no workspace gets more than its rate and burst,
+// counted over all VMs together" for any interleaving of requests, restarts of
+// daemons, new coordinators, new leaders, lost answers and cuts.
+func TestNeverOverRate(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rate := rapid.Float64Range(1, 500).Draw(rt, "rate")
+		burst := rapid.Float64Range(1, 300).Draw(rt, "burst")
+		cells := rapid.IntRange(1, 4).Draw(rt, "cells")
+		tr := newTree(cells, rate, burst)
+		cell := rapid.IntRange(0, cells-1)
+		daemon := rapid.IntRange(0, 1)
+		rt.Repeat(map[string]func(*rapid.T){
+			"advance": func(rt *rapid.T) {
+				tr.advance(time.Duration(rapid.IntRange(1, 400).Draw(rt, "ms")) * time.Millisecond)
+			},
+			"idle": func(*rapid.T) { tr.advance(5 * time.Minute) },
+			"requests": func(rt *rapid.T) {
+				c, d := cell.Draw(rt, "cell"), daemon.Draw(rt, "daemon")
+				for range rapid.IntRange(1, 400).Draw(rt, "n") {
+					tr.admit(c, d, false)
+				}
+			},
+			"request with a lost answer": func(rt *rapid.T) {
+				tr.admit(cell.Draw(rt, "cell"), daemon.Draw(rt, "daemon"), true)
+			},
+			"answers that nobody waits for": func(rt *rapid.T) {
+				tr.giveUp(cell.Draw(rt, "cell"), daemon.Draw(rt, "daemon"), rapid.Bool().Draw(rt, "below"))
+			},
+			"restart daemon":  func(rt *rapid.T) { tr.restartDaemon(cell.Draw(rt, "cell"), daemon.Draw(rt, "daemon")) },
+			"new coordinator": func(rt *rapid.T) { tr.restartCell(cell.Draw(rt, "cell")) },
+			"new leader":      func(*rapid.T) { tr.restartSystem() },
+			"cut or mend": func(rt *rapid.T) {
+				c := cell.Draw(rt, "cell")
+				tr.cut[c] = !tr.cut[c]
+			},
+			"": func(rt *rapid.T) {
+				if err := overRate(tr.log, rate, burst); err != nil {
+					rt.Fatal(err)
+				}
+			},
+		})
+	})
+}
+
+// TestSharesAddUp holds that floors, stocks and the system's part never pass the
+// workspace's rate and burst, also while a new cell's floor is pending.
+func TestSharesAddUp(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cells := rapid.IntRange(1, 12).Draw(rt, "cells")
+		rate, burst := rapid.Float64Range(0, 1e5).Draw(rt, "rate"), rapid.Float64Range(0, 1e5).Draw(rt, "burst")
+		state := newTree(cells, rate, burst).state
+		d := DefaultDivision()
+		sum := d.System(state)["w"]
+		for name, c := range state.Cells {
+			s := d.Cell(state, name)["w"]
+			sum.Rate += s.Rate
+			sum.Burst += s.Burst + float64(s.Stock+len(c.Members)*d.DaemonStock(state, "w"))
+		}
+		if sum.Rate > rate*(1+1e-9) || sum.Burst > burst*(1+1e-9) {
+			rt.Fatalf("shares add up to %v a second and %v of %v and %v", sum.Rate, sum.Burst, rate, burst)
+		}
+	})
+}
+
+// TestCutCellServesItsFloor holds "each then has to go on serving what it can".
+func TestCutCellServesItsFloor(t *testing.T) {
+	is := is.New(t)
+	tr := newTree(3, 300, 60)
+	tr.cut[0] = true
+	for range 1000 {
+		tr.admit(0, 0, false)
+		tr.advance(10 * time.Millisecond)
+	}
+	floor := 300 * DefaultDivision().Floor / 3 * 10 // tokens in 10 s
+	is.True(tr.admitted >= int(floor)-1)
+	is.True(tr.admitted <= int(floor)+60)
+}
+
+// TestNewCellWaitsForTheOthers holds that a new cell's floor becomes active only
+// once every other cell divides with it.
+func TestNewCellWaitsForTheOthers(t *testing.T) {
+	is := is.New(t)
+	state := newTree(3, 100, 30).state
+	state.Version = 7
+	c := state.Cells["c2"]
+	c.FloorPending = true
+	state.Cells["c2"] = c
+	acks, now := newFloorAcks(), time.Unix(100, 0)
+	is.Equal(DefaultDivision().Cell(state, "c2")["w"].Rate, 0.0)
+	is.Equal(len(acks.note(state, "c0", 7, now)), 0)
+	is.Equal(len(acks.note(state, "c1", 6, now)), 0) // an older division
+	is.Equal(acks.note(state, "c1", 7, now), []core.Cell{"c2"})
+	is.Equal(len(acks.note(state, "c1", 7, now)), 0) // proposed already
+}
