Add relays, clusters on loopback and the open-loop load driver

Cause: one stand-in and one daemon show neither faults between parts nor a load whose latency counts from the intended time.

Change: a relay in front of each address cuts, holds, delays or silences connections; a cluster starts the daemons and stand-ins of both deployments behind relays; the driver sends a seeded Poisson plan in an open loop, records latencies in an HdrHistogram by workspace and kind, and judges refusals and admissions against one bucket that sees every intended time.

--- /dev/null
+++ b/bench/cluster/cluster.go
@@ -0,0 +1,178 @@
+// Package cluster starts real daemons and stand-ins on loopback, in this
+// process, and owns their life. Every address has a relay in front of it, on
+// which faults are injected. Sizes: deployment.go. Life: cluster.go, vm.go.
+// Operators' calls: operators.go.
+package cluster
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+
+	"github.com/go-kit/log"
+
+	"github.com/comfreynotch/comfreynotch/bench/faketarget"
+	"github.com/comfreynotch/comfreynotch/bench/relay"
+	"github.com/comfreynotch/comfreynotch/internal/settings"
+)
+
+// Cluster is one running installation. One goroutine uses it; the addresses
+// and secrets that it returns may go to others.
+type Cluster struct {
+	Deployment Deployment
+	VMs        []*VM
+	Targets    []*Target
+	Secrets    map[string]string // of each workspace
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	parts  int
+	ended  chan error
+}
+
+// Target is one stand-in and the relay in front of it.
+type Target struct {
+	*faketarget.Target
+	Relay      *relay.Relay
+	Service    string
+	DataCentre string
+}
+
+// Options are the choices of one start.
+type Options struct {
+	Folder string // of the voters' data
+	Logger log.Logger
+}
+
+// Start starts the daemons and stand-ins of d and configures them.
+func Start(ctx context.Context, d Deployment, o Options) (*Cluster, error) {
+	if o.Logger == nil {
+		o.Logger = log.NewNopLogger()
+	}
+	c := &Cluster{Deployment: d, Secrets: map[string]string{}, ended: make(chan error)}
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	err := c.start(o)
+	if err != nil {
+		return nil, errors.Join(err, c.Stop())
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(o Options) error {
+	if err := c.bindVMs(o); err != nil {
+		return err
+	}
+	for _, vm := range c.VMs {
+		if err := vm.Start(); err != nil {
+			return err
+		}
+	}
+	if err := c.configure(); err != nil {
+		return err
+	}
+	return c.startTargets()
+}
+
+// Stop ends everything and returns the first failure of a part.
+func (c *Cluster) Stop() error {
+	c.cancel()
+	var failure error
+	for range c.parts {
+		if err := <-c.ended; failure == nil {
+			failure = err
+		}
+	}
+	return failure
+}
+
+// run starts one part, which ends with the cluster.
+func (c *Cluster) run(part func(ctx context.Context) error) {
+	c.parts++
+	go func() { c.ended <- part(c.ctx) }()
+}
+
+func (c *Cluster) newRelay() (*relay.Relay, error) {
+	r, err := relay.New()
+	if err != nil {
+		return nil, err
+	}
+	c.run(r.Run)
+	return r, nil
+}
+
+// bindVMs gives each VM its relays and settings. The first VM of each data
+// centre holds the registry.
+func (c *Cluster) bindVMs(o Options) error {
+	var first settings.Bootstrap
+	for _, dc := range c.Deployment.DataCentres {
+		cell := settings.BootstrapCell{Name: dc.Name, DataCentre: dc.Name}
+		for i := range dc.VMs {
+			inner, err := c.newRelay()
+			if err != nil {
+				return err
+			}
+			vm := &VM{Name: fmt.Sprintf("%s-%d", dc.Name, i+1), DataCentre: dc.Name, Voter: i == 0, Inner: inner, cluster: c, logger: o.Logger}
+			c.VMs = append(c.VMs, vm)
+			cell.Members = append(cell.Members, settings.Peer{VM: vm.Name, Inner: inner.Address()})
+		}
+		first.Voters = append(first.Voters, cell.Members[0])
+		first.Cells = append(first.Cells, cell)
+	}
+	var seeds []string
+	for _, v := range first.Voters {
+		seeds = append(seeds, v.Inner)
+	}
+	for _, vm := range c.VMs {
+		vm.settings = vmSettings(vm, first, seeds)
+		if vm.Voter {
+			vm.settings.Registry = &settings.Registry{DataFolder: filepath.Join(o.Folder, vm.Name)}
+		}
+	}
+	return nil
+}
+
+// startTargets places the targets of each service over the data centres in turn.
+func (c *Cluster) startTargets() error {
+	for _, s := range c.Deployment.Services {
+		for i := range s.Targets {
+			dc := c.Deployment.DataCentres[i%len(c.Deployment.DataCentres)].Name
+			if err := c.startTarget(s, fmt.Sprintf("%s-%d", s.Name, i+1), dc); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) startTarget(s Service, id, dc string) error {
+	r, err := c.newRelay()
+	if err != nil {
+		return err
+	}
+	o := s.Target
+	o.ID, o.Service, o.DataCentre, o.Shards = id, s.Name, dc, s.Shards
+	o.Advertise = r.Address()
+	for _, vm := range c.VMs {
+		if vm.DataCentre == dc {
+			o.Daemons = append(o.Daemons, vm.Targets.Address())
+		}
+	}
+	t, err := faketarget.New(o)
+	if err != nil {
+		return err
+	}
+	r.SetTarget(t.Address())
+	c.run(t.Run)
+	c.Targets = append(c.Targets, &Target{Target: t, Relay: r, Service: s.Name, DataCentre: dc})
+	return nil
+}
+
+// Callers returns the callers' addresses of all VMs.
+func (c *Cluster) Callers() []string {
+	var all []string
+	for _, vm := range c.VMs {
+		all = append(all, vm.Callers.Address())
+	}
+	return all
+}
--- /dev/null
+++ b/bench/cluster/operators.go
@@ -0,0 +1,113 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/api/operatorspb"
+)
+
+const (
+	operatorTimeout = 2 * time.Second
+	retryPause      = 50 * time.Millisecond
+	configureLimit  = 30 * time.Second
+)
+
+// Operate returns a client of one VM's operators' listener.
+func (vm *VM) Operate() operatorspb.Operators {
+	return operatorspb.NewOperatorsProtobufClient("http://"+vm.Operators.Address(), http.DefaultClient)
+}
+
+// Retry repeats call with one VM after the other until it succeeds or ctx ends.
+func (c *Cluster) Retry(ctx context.Context, call func(ctx context.Context, ops operatorspb.Operators) error) error {
+	var last error
+	for i := 0; ; i++ {
+		vm := c.VMs[i%len(c.VMs)]
+		attempt, cancel := context.WithTimeout(ctx, operatorTimeout)
+		last = call(attempt, vm.Operate())
+		cancel()
+		if last == nil {
+			return nil
+		}
+		timer := time.NewTimer(retryPause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return fmt.Errorf("no VM took the change: %w", last)
+		}
+	}
+}
+
+func (c *Cluster) configure() error {
+	ctx, cancel := context.WithTimeout(c.ctx, configureLimit)
+	defer cancel()
+	for _, s := range c.Deployment.Services {
+		if err := c.PutService(ctx, s); err != nil {
+			return err
+		}
+	}
+	for _, w := range c.Deployment.Workspaces {
+		if err := c.PutWorkspace(ctx, w); err != nil {
+			return err
+		}
+		if err := c.createKey(ctx, w.Name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// PutService puts a service into the configuration.
+func (c *Cluster) PutService(ctx context.Context, s Service) error {
+	change := &operatorspb.Change{RequestId: "service-" + s.Name}
+	return c.Retry(ctx, func(ctx context.Context, ops operatorspb.Operators) error {
+		_, err := ops.PutService(ctx, &operatorspb.PutServiceRequest{Change: change, Service: &operatorspb.Service{
+			Name: s.Name, Keyed: s.Keyed, Shards: s.Shards, ChecksFence: s.Target.ChecksFence, RepeatableGet: true,
+		}})
+		return err
+	})
+}
+
+// PutWorkspace puts a workspace into the configuration.
+func (c *Cluster) PutWorkspace(ctx context.Context, w Workspace) error {
+	change := &operatorspb.Change{RequestId: fmt.Sprintf("workspace-%s-%g-%g", w.Name, w.Rate, w.Burst)}
+	return c.Retry(ctx, func(ctx context.Context, ops operatorspb.Operators) error {
+		_, err := ops.PutWorkspace(ctx, &operatorspb.PutWorkspaceRequest{
+			Change:    change,
+			Workspace: &operatorspb.Workspace{Name: w.Name, Rate: w.Rate, Burst: w.Burst},
+		})
+		return err
+	})
+}
+
+// PutDataCentre sets the status of a data centre: in, leaving, out or dead.
+// Each call needs a request id of its own.
+func (c *Cluster) PutDataCentre(ctx context.Context, requestID, name, status string) error {
+	return c.Retry(ctx, func(ctx context.Context, ops operatorspb.Operators) error {
+		_, err := ops.PutDataCentre(ctx, &operatorspb.PutDataCentreRequest{
+			Change:     &operatorspb.Change{RequestId: requestID},
+			DataCentre: &operatorspb.DataCentre{Name: name, Status: status},
+		})
+		return err
+	})
+}
+
+// createKey grants a key under a new name each time, since the secret of a lost
+// answer cannot be had again.
+func (c *Cluster) createKey(ctx context.Context, workspace string) error {
+	attempt := 0
+	return c.Retry(ctx, func(ctx context.Context, ops operatorspb.Operators) error {
+		attempt++
+		key, err := ops.CreateCallerKey(ctx, &operatorspb.CreateCallerKeyRequest{
+			Id: fmt.Sprintf("%s-key-%d", workspace, attempt), Workspace: workspace,
+		})
+		if err != nil {
+			return err
+		}
+		c.Secrets[workspace] = key.GetSecret()
+		return nil
+	})
+}
--- /dev/null
+++ b/bench/cluster/vm.go
@@ -0,0 +1,120 @@
+package cluster
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/go-kit/log"
+
+	"github.com/comfreynotch/comfreynotch/bench/relay"
+	"github.com/comfreynotch/comfreynotch/internal/daemon"
+	"github.com/comfreynotch/comfreynotch/internal/settings"
+)
+
+// VM is one entry VM: a daemon that can be stopped and started again, behind
+// relays whose addresses stay the same.
+type VM struct {
+	Name       string
+	DataCentre string
+	Voter      bool
+	Inner      *relay.Relay
+	Callers    *relay.Relay
+	Targets    *relay.Relay
+	Operators  *relay.Relay
+
+	cluster  *Cluster
+	logger   log.Logger
+	settings *settings.Settings
+	stop     context.CancelFunc
+	stopped  chan error
+}
+
+func vmSettings(vm *VM, first settings.Bootstrap, seeds []string) *settings.Settings {
+	const any = "127.0.0.1:0"
+	return &settings.Settings{
+		VM: vm.Name, DataCentre: vm.DataCentre, Cell: vm.DataCentre, LogLevel: "error",
+		Listen:    settings.Listen{Callers: any, Targets: any, Inner: any, Operators: any, Metrics: any},
+		Advertise: vm.Inner.Address(),
+		Seeds:     seeds,
+		Bootstrap: first,
+	}
+}
+
+// Running reports whether the daemon has been started and not stopped.
+func (vm *VM) Running() bool { return vm.stop != nil }
+
+// Start starts the daemon with the settings that it always had.
+func (vm *VM) Start() error {
+	if vm.Running() {
+		return nil
+	}
+	if vm.Callers == nil {
+		if err := vm.bind(); err != nil {
+			return err
+		}
+	}
+	d, err := daemon.New(vm.settings, vm.logger)
+	if err != nil {
+		return fmt.Errorf("start %s: %w", vm.Name, err)
+	}
+	vm.Inner.SetTarget(d.InnerAddress())
+	vm.Callers.SetTarget(d.CallersAddress())
+	vm.Targets.SetTarget(d.TargetsAddress())
+	vm.Operators.SetTarget(d.OperatorsAddress())
+	ctx, cancel := context.WithCancel(vm.cluster.ctx)
+	vm.stop, vm.stopped = cancel, make(chan error, 1)
+	stopped := vm.stopped
+	vm.cluster.run(func(context.Context) error {
+		err := d.Run(ctx)
+		stopped <- err
+		return err
+	})
+	return nil
+}
+
+func (vm *VM) bind() error {
+	for _, r := range []**relay.Relay{&vm.Callers, &vm.Targets, &vm.Operators} {
+		bound, err := vm.cluster.newRelay()
+		if err != nil {
+			return err
+		}
+		*r = bound
+	}
+	return nil
+}
+
+// Stop is a planned stop: it waits until the daemon has ended.
+func (vm *VM) Stop() error {
+	if !vm.Running() {
+		return nil
+	}
+	vm.stop()
+	vm.stop = nil
+	return <-vm.stopped
+}
+
+// Crash is a loss: connections break at once, and nothing is said to peers.
+func (vm *VM) Crash() error {
+	for _, r := range vm.relays() {
+		r.Cut()
+	}
+	return vm.Stop()
+}
+
+// Isolate holds every byte towards the daemon, in silence.
+func (vm *VM) Isolate() {
+	for _, r := range vm.relays() {
+		r.Hold()
+	}
+}
+
+// Heal ends the faults of the VM's relays.
+func (vm *VM) Heal() {
+	for _, r := range vm.relays() {
+		r.Heal()
+	}
+}
+
+func (vm *VM) relays() []*relay.Relay {
+	return []*relay.Relay{vm.Inner, vm.Callers, vm.Targets, vm.Operators}
+}
--- /dev/null
+++ b/bench/load/driver.go
@@ -0,0 +1,107 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/bench/faketarget"
+	"github.com/comfreynotch/comfreynotch/internal/gateway"
+	"github.com/comfreynotch/comfreynotch/internal/result"
+)
+
+const (
+	idlePerAddress = 512
+	callTimeout    = 15 * time.Second
+)
+
+// Caller sends requests to a set of addresses in turn, as the platform's
+// balancer does.
+type Caller struct {
+	addresses func(service string) []string
+	secrets   map[string]string
+	client    *http.Client
+}
+
+// NewCaller returns a caller. addresses returns where requests of a service
+// may go; secrets holds each workspace's caller key and may be nil.
+func NewCaller(addresses func(service string) []string, secrets map[string]string) *Caller {
+	return &Caller{
+		addresses: addresses, secrets: secrets,
+		client: &http.Client{
+			Timeout:   callTimeout,
+			Transport: &http.Transport{MaxIdleConnsPerHost: idlePerAddress},
+		},
+	}
+}
+
+// Close drops the open connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+func (c *Caller) call(ctx context.Context, turn int, s Stream, p planned) Sample {
+	sample := Sample{Workspace: s.Workspace, Kind: s.Kind, Outcome: NotRun}
+	addresses := c.addresses(s.Service)
+	if len(addresses) == 0 {
+		return sample
+	}
+	body := fmt.Sprintf("%s-%d", s.Kind, p.serial)
+	req, err := c.request(ctx, addresses[turn%len(addresses)], s, p, body)
+	if err != nil {
+		return sample
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		sample.Outcome = MayHaveRun
+		return sample
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		sample.Outcome = MayHaveRun
+		return sample
+	}
+	sample.Outcome, sample.Target = judge(resp, data, body)
+	return sample
+}
+
+func (c *Caller) request(ctx context.Context, address string, s Stream, p planned, body string) (*http.Request, error) {
+	method := http.MethodGet
+	if s.Post {
+		method = http.MethodPost
+	}
+	url := "http://" + address + "/" + s.Service + "/" + p.key
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return nil, err
+	}
+	if s.Post {
+		req.Header.Set(gateway.HeaderIdempotencyKey, body)
+	}
+	if secret := c.secrets[s.Workspace]; secret != "" {
+		req.Header.Set("Authorization", "Bearer "+secret)
+	}
+	return req, nil
+}
+
+func judge(resp *http.Response, data []byte, body string) (Outcome, string) {
+	switch {
+	case resp.StatusCode == http.StatusTooManyRequests:
+		return OverRate, ""
+	case resp.StatusCode == http.StatusOK:
+		var a faketarget.Answer
+		if json.Unmarshal(data, &a) != nil || a.Body != body {
+			return WrongAnswer, a.Target
+		}
+		return Served, a.Target
+	case resp.Header.Get(gateway.HeaderRan) == result.NotRun.String():
+		return NotRun, ""
+	case resp.Header.Get(gateway.HeaderRan) == result.HasRun.String():
+		return RanFailed, ""
+	default:
+		return MayHaveRun, ""
+	}
+}
--- /dev/null
+++ b/bench/relay/relay_test.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestSilencedConnectionsStaySilent holds the fault "open connections can go
+// silent for good while new ones work": without it the fuzzing proves nothing.
+func TestSilencedConnectionsStaySilent(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer echo.Close()
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	r, err := New()
+	is.NoErr(err)
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx) }()
+	r.SetTarget(echo.Addr().String())
+
+	old := dialUntilEcho(t, r.Address())
+	r.Silence()
+	r.Heal() // the mailbox keeps the order: once a new connection echoes, silence is in force
+	fresh := dialUntilEcho(t, r.Address())
+	defer fresh.Close()
+	_, err = old.Write([]byte("late\n"))
+	is.NoErr(err)
+	is.NoErr(old.SetReadDeadline(time.Now().Add(50 * time.Millisecond)))
+	_, err = old.Read(make([]byte, 1))
+	is.True(err != nil) // nothing came back, and the connection did not close
+	is.True(!errors.Is(err, io.EOF))
+	cancel()
+	is.NoErr(<-done)
+}
+
+func dialUntilEcho(t *testing.T, address string) net.Conn {
+	t.Helper()
+	for {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write([]byte("hello\n"))
+		if line, err := bufio.NewReader(c).ReadString('\n'); err == nil && line == "hello\n" {
+			return c
+		}
+		c.Close()
+	}
+}
