--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -151,7 +151,10 @@
 		return err
 	}
 	o := s.Target
-	o.ID, o.Service, o.DataCentre, o.Shards = id, s.Name, dc, s.Shards
+	o.ID, o.Service, o.DataCentre = id, s.Name, dc
+	if s.Keyed {
+		o.Shards = s.Shards
+	}
 	o.Advertise = r.Address()
 	for _, vm := range c.VMs {
 		if vm.DataCentre == dc {
--- a/bench/cluster/deployment.go
+++ b/bench/cluster/deployment.go
@@ -49,7 +49,7 @@
 func Vernicert() Deployment {
 	target := faketarget.Options{
 		Slots: 6, Connections: 120, Work: work, ConnectionCost: connectionCost,
-		WarmUp: 3 * time.Second, ColdSlots: 1, ChecksFence: true,
+		WarmUp: 3 * time.Second, ColdSlots: 1, ChecksFence: true, StartsWarm: true,
 	}
 	return Deployment{
 		Name:        "vernicert",
@@ -66,7 +66,7 @@
 func Tlaloc() Deployment {
 	target := faketarget.Options{
 		Slots: 4, Connections: 130, Work: work, ConnectionCost: connectionCost,
-		WarmUp: 3 * time.Second, ColdSlots: 1, ChecksFence: true,
+		WarmUp: 3 * time.Second, ColdSlots: 1, ChecksFence: true, StartsWarm: true,
 	}
 	return Deployment{
 		Name:        "tlaloc",
--- a/bench/faketarget/model.go
+++ b/bench/faketarget/model.go
@@ -25,6 +25,7 @@
 	ColdSlots      int           // requests at once that the first moment bears; 0: 1
 	ShedsCold      bool          // a cold stand-in sheds what is above its ramp; else it collapses
 	ShedsFull      bool          // sheds what is above its slots; else it serves slower
+	StartsWarm     bool          // the first incarnation needs no warm-up
 }
 
 // collapseFactor slows each request that a cold stand-in takes above its ramp.
--- a/bench/faketarget/task.go
+++ b/bench/faketarget/task.go
@@ -71,7 +71,9 @@
 // messages wait, as they would at a stopped process.
 func (t *Target) loop(ctx context.Context, failed <-chan error) error {
 	m := newModel(t.options)
-	m.cold(time.Now())
+	if !t.options.StartsWarm {
+		m.cold(time.Now())
+	}
 	work := t.mailbox.C()
 	for {
 		select {
--- a/bench/load/driver.go
+++ b/bench/load/driver.go
@@ -43,7 +43,7 @@
 func (c *Caller) Close() { c.client.CloseIdleConnections() }
 
 func (c *Caller) call(ctx context.Context, turn int, s Stream, p planned) Sample {
-	sample := Sample{Workspace: s.Workspace, Kind: s.Kind, Outcome: NotRun}
+	sample := Sample{Workspace: s.Workspace, Kind: s.Kind, Key: p.key, Outcome: NotRun}
 	addresses := c.addresses(s.Service)
 	if len(addresses) == 0 {
 		return sample
--- a/bench/load/results.go
+++ b/bench/load/results.go
@@ -25,6 +25,7 @@
 type Sample struct {
 	Workspace string
 	Kind      string
+	Key       string
 	Outcome   Outcome
 	At        time.Duration // intended time, from the start of the run
 	Latency   time.Duration // from the intended time
@@ -186,3 +187,42 @@
 	}
 	return float64(r.Outcomes[Served]) / float64(r.Sent)
 }
+
+// Between sums up the requests whose intended time lies in [from, to).
+func (r *Results) Between(from, to time.Duration) *Results {
+	part := newResults()
+	for _, s := range r.Samples {
+		if s.At >= from && s.At < to {
+			part.add(s)
+		}
+	}
+	return part
+}
+
+// LongestOutage returns the longest time for which the requests to one key of
+// a kind were refused or failed without one served between them.
+func (r *Results) LongestOutage(kind string) time.Duration {
+	type outage struct {
+		from   time.Duration
+		failed bool
+	}
+	samples := slices.Clone(r.Samples)
+	slices.SortFunc(samples, func(a, b Sample) int { return cmp.Compare(a.At, b.At) })
+	open := map[string]outage{}
+	var longest time.Duration
+	for _, s := range samples {
+		if s.Kind != kind {
+			continue
+		}
+		o := open[s.Key]
+		switch {
+		case s.Outcome == Served:
+			delete(open, s.Key)
+		case !o.failed:
+			open[s.Key] = outage{from: s.At, failed: true}
+		default:
+			longest = max(longest, s.At-o.from)
+		}
+	}
+	return longest
+}
