Queue, choose and start slowly in dispatch

A pool was a list that was searched at each event: it had no fairness between workspaces, no notion of a cold target, and woke every 5 ms for deadlines.

Each keyed target, and each group of an open service, now has a start-time fair queue with one flow for each workspace; when it is full, the newest need of the longest flow goes. Retries and hedges draw on a budget of 3 per cent of first attempts. One timer fires at the earliest deadline; cancelling a need is a look-up.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -76,6 +76,7 @@
 // configChanged hands an accepted state to the tasks that act on it.
 func (d *Daemon) configChanged(s *config.State) {
 	d.quota.ConfigChanged(s)
+	d.dispatch.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
 }
 
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/cell"
+	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/exchange"
 	"github.com/comfreynotch/comfreynotch/internal/result"
@@ -13,7 +16,7 @@
 
 const (
 	mailboxSize         = 8192
-	deadlinePeriod      = 5 * time.Millisecond
+	controlSize         = 256
 	defaultQueuePerSlot = 16
 )
 
@@ -29,6 +32,11 @@
 	reply   task.Reply[Grant]
 }
 
+type firstByte struct {
+	slot    Slot
+	attempt exchange.Attempt
+}
+
 type release struct {
 	slot    Slot
 	attempt exchange.Attempt
@@ -36,19 +44,41 @@
 
 type tableChanged struct{ table *cell.Table }
 
-func (acquire) isMessage()      {}
-func (cancel) isMessage()       {}
-func (release) isMessage()      {}
-func (tableChanged) isMessage() {}
+type configChanged struct{ state *config.State }
+
+type awaitIdle struct{ reply task.Reply[struct{}] }
+
+func (acquire) isMessage()       {}
+func (cancel) isMessage()        {}
+func (firstByte) isMessage()     {}
+func (release) isMessage()       {}
+func (tableChanged) isMessage()  {}
+func (configChanged) isMessage() {}
+func (awaitIdle) isMessage()     {}
+
+// tableVersion names the table in use; changed is closed when another follows.
+type tableVersion struct {
+	fence   core.Fence
+	changed chan struct{}
+}
 
 // Task owns the pools of all services whose targets this daemon dispatches.
 type Task struct {
 	self    core.VM
-	mailbox task.Mailbox[message]
+	mailbox task.Mailbox[message] // of requests
+	control task.Mailbox[message] // of changes, which a flood of requests must not crowd out
+
+	pools    map[core.Service]*Pool
+	services map[core.Service]config.Service
+	replies  map[Ticket]task.Reply[Grant]
+	tickets  map[task.Reply[Grant]]Ticket
+	next     Ticket
+	inFlight int
+	table    task.Snapshot[tableVersion]
+	idle     []task.Reply[struct{}]
 
-	pools   map[core.Service]*Pool
-	replies map[Ticket]task.Reply[Grant]
-	next    Ticket
+	timer   *time.Timer
+	armedAt time.Time // when timer fires; zero: stopped
 }
 
 // NewTask returns the dispatch task of daemon self.
@@ -56,8 +86,11 @@
 	return &Task{
 		self:    self,
 		mailbox: task.NewMailbox[message]("dispatch", mailboxSize),
+		control: task.NewMailbox[message]("dispatch control", controlSize),
 		pools:   map[core.Service]*Pool{},
 		replies: map[Ticket]task.Reply[Grant]{},
+		tickets: map[task.Reply[Grant]]Ticket{},
+		table:   task.NewSnapshot(&tableVersion{changed: make(chan struct{})}),
 	}
 }
 
@@ -72,64 +105,143 @@
 		return g.Slot, g.Err
 	case <-ctx.Done():
 		_ = t.mailbox.Send(context.WithoutCancel(ctx), cancel{service: n.Service, reply: reply})
+		if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+			return Slot{}, result.Wrap(result.DeadlineInQueue, ctx.Err(), "no slot of %s in time", n.Service)
+		}
 		return Slot{}, result.Wrap(result.CallerGone, ctx.Err(), "caller left the queue of %s", n.Service)
 	}
 }
 
+// FirstByte tells that an answer has begun and streams from now on. The slot
+// stays taken until Release.
+func (t *Task) FirstByte(s Slot, a exchange.Attempt) {
+	_ = t.mailbox.Send(context.Background(), firstByte{slot: s, attempt: a})
+}
+
 // Release gives a slot back and tells what became of the request.
 func (t *Task) Release(s Slot, a exchange.Attempt) {
 	_ = t.mailbox.Send(context.Background(), release{slot: s, attempt: a})
 }
 
 // TableChanged delivers a new table of the cell.
-func (t *Task) TableChanged(table *cell.Table) { _ = t.mailbox.Post(tableChanged{table}) }
+func (t *Task) TableChanged(table *cell.Table) { _ = t.control.Post(tableChanged{table}) }
+
+// ConfigChanged delivers the state in force.
+func (t *Task) ConfigChanged(s *config.State) { _ = t.control.Post(configChanged{s}) }
 
-// Serve runs the task until ctx ends.
+// AwaitTable waits until the task has a table other than the one with fence
+// seen, or until ctx ends.
+func (t *Task) AwaitTable(ctx context.Context, seen core.Fence) {
+	v := t.table.Load()
+	if v.fence != seen {
+		return
+	}
+	select {
+	case <-v.changed:
+	case <-ctx.Done():
+	}
+}
+
+// AwaitIdle waits until no request holds a slot or waits for one, or until ctx
+// ends.
+func (t *Task) AwaitIdle(ctx context.Context) error {
+	_, err := task.Ask(ctx, t.control, func(r task.Reply[struct{}]) message { return awaitIdle{r} })
+	return err
+}
+
+// Serve runs the task until ctx ends. It sleeps until a message comes or the
+// earliest deadline of a waiting need.
 func (t *Task) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(deadlinePeriod)
-	defer ticker.Stop()
+	t.timer = time.NewTimer(time.Hour)
+	t.timer.Stop()
+	t.armedAt = time.Time{}
+	defer t.timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case m := <-t.mailbox.C():
-			t.handle(m)
-		case now := <-ticker.C:
+			t.handle(m, time.Now())
+		case m := <-t.control.C():
+			t.handle(m, time.Now())
+		case now := <-t.timer.C:
+			t.armedAt = time.Time{}
 			for _, p := range t.pools {
 				t.deliver(p.Pump(now))
 			}
 		}
+		t.arm(time.Now())
 	}
 }
 
-func (t *Task) handle(m message) {
-	now := time.Now()
+// arm sets the timer to the earliest time at which a pool has something to do.
+func (t *Task) arm(now time.Time) {
+	var next time.Time
+	for _, p := range t.pools {
+		if at := p.Next(now); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
+	switch {
+	case next.Equal(t.armedAt):
+	case next.IsZero():
+		t.timer.Stop()
+	default:
+		t.timer.Reset(next.Sub(now))
+	}
+	t.armedAt = next
+}
+
+func (t *Task) handle(m message, now time.Time) {
 	switch m := m.(type) {
 	case acquire:
 		t.next++
 		t.replies[t.next] = m.reply
+		t.tickets[m.reply] = t.next
 		t.deliver(t.pool(m.need.Service).Acquire(t.next, m.need, now))
 	case cancel:
 		t.cancel(m, now)
+	case firstByte:
+		t.deliver(t.pool(m.slot.Target.Service).FirstByte(m.slot, m.attempt, now))
 	case release:
-		t.deliver(t.pool(m.slot.Target.Service).Release(m.slot.Target.ID, m.attempt, now))
+		t.release(m.slot, m.attempt, now)
 	case tableChanged:
 		t.update(m.table, now)
+	case configChanged:
+		t.configure(m.state)
+	case awaitIdle:
+		t.idle = append(t.idle, m.reply)
+		t.answerIdle()
 	}
 }
 
+func (t *Task) release(s Slot, a exchange.Attempt, now time.Time) {
+	t.inFlight--
+	t.deliver(t.pool(s.Target.Service).Release(s, a, now))
+	t.answerIdle()
+}
+
 // cancel withdraws a waiting need, or gives back the slot that it got meanwhile.
 func (t *Task) cancel(m cancel, now time.Time) {
-	for ticket, reply := range t.replies {
-		if reply == m.reply {
-			delete(t.replies, ticket)
-			t.pool(m.service).Cancel(ticket)
-			return
-		}
+	if ticket, ok := t.tickets[m.reply]; ok {
+		t.pool(m.service).Cancel(ticket)
+		t.forget(ticket, m.reply)
+		t.answerIdle()
+		return
 	}
 	if g := <-m.reply; g.Err == nil {
-		t.deliver(t.pool(m.service).Release(g.Slot.Target.ID, exchange.Attempt{Code: result.CallerGone}, now))
+		t.release(g.Slot, exchange.Attempt{Code: result.CallerGone}, now)
+	}
+}
+
+func (t *Task) answerIdle() {
+	if t.inFlight > 0 || len(t.replies) > 0 {
+		return
+	}
+	for _, r := range t.idle {
+		r.Answer(struct{}{})
 	}
+	t.idle = nil
 }
 
 func (t *Task) update(table *cell.Table, now time.Time) {
@@ -145,14 +257,35 @@
 		}
 	}
 	for name, targets := range byService {
-		t.deliver(t.pool(name).Update(targets, now))
+		p := t.pool(name)
+		t.deliver(p.Update(targets, now))
+		if p.Idle() {
+			delete(t.pools, name)
+		}
+	}
+	old := t.table.Load()
+	t.table.Publish(&tableVersion{fence: table.Fence, changed: make(chan struct{})})
+	close(old.changed)
+}
+
+func (t *Task) configure(s *config.State) {
+	t.services = s.Services
+	for name, p := range t.pools {
+		p.SetQueuePerSlot(t.queuePerSlot(name))
+	}
+}
+
+func (t *Task) queuePerSlot(service core.Service) int {
+	if n := t.services[service].QueuePerSlot; n > 0 {
+		return n
 	}
+	return defaultQueuePerSlot
 }
 
 func (t *Task) pool(service core.Service) *Pool {
 	p := t.pools[service]
 	if p == nil {
-		p = NewPool(defaultQueuePerSlot)
+		p = NewPool(service, t.queuePerSlot(service), LatencyAware{}, rand.Uint64()|1)
 		t.pools[service] = p
 	}
 	return p
@@ -161,8 +294,16 @@
 func (t *Task) deliver(grants []Grant) {
 	for _, g := range grants {
 		if reply, ok := t.replies[g.Ticket]; ok {
-			delete(t.replies, g.Ticket)
+			t.forget(g.Ticket, reply)
 			reply.Answer(g)
+			if g.Err == nil {
+				t.inFlight++
+			}
 		}
 	}
 }
+
+func (t *Task) forget(ticket Ticket, reply task.Reply[Grant]) {
+	delete(t.replies, ticket)
+	delete(t.tickets, reply)
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -47,4 +47,7 @@
 	Ran     result.Ran
 	Latency time.Duration // from sending to the first byte of the answer
 	Status  int           // of the answer, 0 without one
+	// Streamed says that the answer streams, or streamed, after its first byte
+	// was reported.
+	Streamed bool
 }
--- /dev/null
+++ b/internal/fairqueue/fairqueue_test.go
@@ -0,0 +1,142 @@
+package fairqueue
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/comfreynotch/comfreynotch/internal/core"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "300")
+	os.Exit(m.Run())
+}
+
+// TestFloodHarmsNoOther holds that a workspace which sends far more than its
+// share delays another by one item at most.
+func TestFloodHarmsNoOther(t *testing.T) {
+	is := is.New(t)
+	q := New[string]()
+	for range 1000 {
+		q.Push("flood", 1, "flood")
+	}
+	for range 10 {
+		_, _ = q.Pop()
+	}
+	q.Push("small", 1, "small")
+	first, _ := q.Pop()
+	second, _ := q.Pop()
+	is.True(first == "small" || second == "small")
+}
+
+type entry struct {
+	workspace core.Workspace
+	serial    int
+}
+
+type waiter struct {
+	item   *Item[entry]
+	serial int
+}
+
+// TestFairAndWhole drives the queue at random against a list: every item comes
+// out once or is removed, in order within its workspace, and two workspaces
+// that both wait all the while are served within one item of each other.
+func TestFairAndWhole(t *testing.T) {
+	workspaces := []core.Workspace{"a", "b", "c", "d"}
+	rapid.Check(t, func(t *rapid.T) {
+		q := New[entry]()
+		waiting := map[core.Workspace][]waiter{}
+		served := map[core.Workspace]int{} // since all workspaces wait
+		serial := 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			w := rapid.SampledFrom(workspaces).Draw(t, "workspace")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				serial++
+				waiting[w] = append(waiting[w], waiter{q.Push(w, 1, entry{w, serial}), serial})
+			case 2:
+				if len(waiting[w]) > 0 {
+					i := rapid.IntRange(0, len(waiting[w])-1).Draw(t, "which")
+					q.Remove(waiting[w][i].item)
+					waiting[w] = append(waiting[w][:i:i], waiting[w][i+1:]...)
+				}
+			default:
+				want := 0
+				for _, items := range waiting {
+					want += len(items)
+				}
+				if q.Len() != want {
+					t.Fatalf("%d wait, want %d", q.Len(), want)
+				}
+				e, ok := q.Pop()
+				if ok != (want > 0) {
+					t.Fatalf("Pop says %v with %d waiting", ok, want)
+				}
+				if !ok {
+					break
+				}
+				if oldest := waiting[e.workspace][0].serial; oldest != e.serial {
+					t.Fatalf("served %d before %d of %s", e.serial, oldest, e.workspace)
+				}
+				waiting[e.workspace] = waiting[e.workspace][1:]
+				served[e.workspace]++
+			}
+			checkFair(t, workspaces, waiting, served)
+		}
+	})
+}
+
+func checkFair(t *rapid.T, workspaces []core.Workspace, waiting map[core.Workspace][]waiter, served map[core.Workspace]int) {
+	low, high := 1<<30, 0
+	for _, w := range workspaces {
+		if len(waiting[w]) == 0 {
+			clear(served)
+			return
+		}
+		low, high = min(low, served[w]), max(high, served[w])
+	}
+	if high-low > 2 {
+		t.Fatalf("served %v while all waited", served)
+	}
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	b.ReportAllocs()
+	q := New[int]()
+	names := []core.Workspace{"a", "b", "c", "d", "e", "f", "g", "h"}
+	for i := range 256 {
+		q.Push(names[i%8], 1, i)
+	}
+	i := 0
+	for b.Loop() {
+		q.Push(names[i%8], 1, i)
+		_, _ = q.Pop()
+		i++
+	}
+}
+
+// TestComingBackGainsNothing: a workspace that always has one item waiting gets
+// no more than one that has many.
+func TestComingBackGainsNothing(t *testing.T) {
+	is := is.New(t)
+	q := New[string]()
+	for range 100 {
+		q.Push("many", 1, "many")
+	}
+	single := 0
+	q.Push("single", 1, "single")
+	for range 40 {
+		v, _ := q.Pop()
+		if v == "single" {
+			single++
+			q.Push("single", 1, "single")
+		}
+	}
+	is.True(single >= 19 && single <= 21)
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -52,6 +52,7 @@
 	Overloaded        Code = 201
 	DeadlineInQueue   Code = 202
 	CallerGone        Code = 203
+	RetryBudgetSpent  Code = 204
 	NoTarget          Code = 300
 	NotOwner          Code = 301
 	ShardUnassigned   Code = 302
@@ -102,6 +103,7 @@
 	Overloaded:        {"overloaded", NotRun, 503},
 	DeadlineInQueue:   {"deadline_in_queue", NotRun, 504},
 	CallerGone:        {"caller_gone", NotRun, 499},
+	RetryBudgetSpent:  {"retry_budget_spent", NotRun, 503},
 	NoTarget:          {"no_target", NotRun, 503},
 	NotOwner:          {"not_owner", NotRun, 503},
 	ShardUnassigned:   {"shard_unassigned", NotRun, 503},
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,51 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreynotch/comfreynotch/internal/result"
+)
+
+// TestNothingUnprovedRunsTwice holds "a request that may not be repeated runs
+// at most once": for every code, a second send needs the proof "not run".
+func TestNothingUnprovedRunsTwice(t *testing.T) {
+	is := is.New(t)
+	for code := range result.Codes() {
+		for _, ran := range []result.Ran{result.NotRun, result.MayHaveRun, result.HasRun} {
+			e := &result.Error{Code: code, Ran: ran}
+			d := Next(&History{}, e, false, time.Second)
+			is.True(ran == result.NotRun || d.Action == GiveUp)
+		}
+	}
+}
+
+// TestRetriesStayAFewPerCent holds for a service of which every request fails.
+func TestRetriesStayAFewPerCent(t *testing.T) {
+	is := is.New(t)
+	b, spent := NewBudget(), 0
+	for range 10000 {
+		b.Deposit()
+		for b.Withdraw() {
+			spent++
+		}
+	}
+	is.True(spent <= 10000*3/100+reserve)
+	is.True(spent > 250)
+}
+
+// TestRetriesEnd: no request is retried for ever, nor past its deadline.
+func TestRetriesEnd(t *testing.T) {
+	is := is.New(t)
+	for _, code := range []result.Code{result.NotOwner, result.TargetRefused, result.CellUnreachable, result.NoLease} {
+		var h History
+		rounds := 0
+		for Next(&h, result.New(code, ""), true, time.Minute).Action != GiveUp {
+			rounds++
+		}
+		is.True(rounds > 0 && rounds <= maxMoves)
+		is.Equal(Next(&History{}, result.New(code, ""), true, 0).Action, GiveUp)
+	}
+}
