--- a/api/operatorspb/operators.twirp.go
+++ b/api/operatorspb/operators.twirp.go
@@ -36,25 +36,57 @@
 // ===================
 
 type Operators interface {
+	// Data centres and cells.
 	PutDataCentre(context.Context, *PutDataCentreRequest) (*ChangeAnswer, error)
 
+	SetDataCentreStatus(context.Context, *SetDataCentreStatusRequest) (*ChangeAnswer, error)
+
 	PutCell(context.Context, *PutCellRequest) (*ChangeAnswer, error)
 
+	// Workspaces, their rates and their caller keys.
 	PutWorkspace(context.Context, *PutWorkspaceRequest) (*ChangeAnswer, error)
 
 	DeleteWorkspace(context.Context, *DeleteWorkspaceRequest) (*ChangeAnswer, error)
 
-	CreateCallerKey(context.Context, *CreateCallerKeyRequest) (*CreateCallerKeyAnswer, error)
+	CreateCallerKey(context.Context, *CreateCallerKeyRequest) (*ChangeAnswer, error)
+
+	ListCallerKeys(context.Context, *ListCallerKeysRequest) (*CallerKeys, error)
 
 	WithdrawCallerKey(context.Context, *WithdrawCallerKeyRequest) (*ChangeAnswer, error)
 
+	// Services.
 	PutService(context.Context, *PutServiceRequest) (*ChangeAnswer, error)
 
 	DeleteService(context.Context, *DeleteServiceRequest) (*ChangeAnswer, error)
 
+	// Members of the registry.
+	AddVoter(context.Context, *AddVoterRequest) (*ChangeAnswer, error)
+
+	ReplaceVoter(context.Context, *ReplaceVoterRequest) (*ChangeAnswer, error)
+
+	RemoveVoter(context.Context, *RemoveVoterRequest) (*ChangeAnswer, error)
+
+	// Targets, hot keys and assignments.
+	ListTargets(context.Context, *ListTargetsRequest) (*Targets, error)
+
+	DrainTarget(context.Context, *DrainTargetRequest) (*ChangeAnswer, error)
+
+	ListHotKeys(context.Context, *ListHotKeysRequest) (*HotKeys, error)
+
+	PinKey(context.Context, *PinKeyRequest) (*ChangeAnswer, error)
+
+	Assign(context.Context, *AssignRequest) (*ChangeAnswer, error)
+
+	ListAssignments(context.Context, *ListAssignmentsRequest) (*Assignments, error)
+
+	// What is in force, and why.
 	GetConfiguration(context.Context, *GetConfigurationRequest) (*Configuration, error)
 
 	GetStatus(context.Context, *GetStatusRequest) (*Status, error)
+
+	Explain(context.Context, *ExplainRequest) (*Explanation, error)
+
+	GetEvents(context.Context, *GetEventsRequest) (*Events, error)
 }
 
 // =========================
@@ -63,7 +95,7 @@
 
 type operatorsProtobufClient struct {
 	client      HTTPClient
-	urls        [10]string
+	urls        [23]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -91,17 +123,30 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "comfreynotch.operators", "Operators")
-	urls := [10]string{
+	urls := [23]string{
 		serviceURL + "PutDataCentre",
+		serviceURL + "SetDataCentreStatus",
 		serviceURL + "PutCell",
 		serviceURL + "PutWorkspace",
 		serviceURL + "DeleteWorkspace",
 		serviceURL + "CreateCallerKey",
+		serviceURL + "ListCallerKeys",
 		serviceURL + "WithdrawCallerKey",
 		serviceURL + "PutService",
 		serviceURL + "DeleteService",
+		serviceURL + "AddVoter",
+		serviceURL + "ReplaceVoter",
+		serviceURL + "RemoveVoter",
+		serviceURL + "ListTargets",
+		serviceURL + "DrainTarget",
+		serviceURL + "ListHotKeys",
+		serviceURL + "PinKey",
+		serviceURL + "Assign",
+		serviceURL + "ListAssignments",
 		serviceURL + "GetConfiguration",
 		serviceURL + "GetStatus",
+		serviceURL + "Explain",
+		serviceURL + "GetEvents",
 	}
 
 	return &operatorsProtobufClient{
@@ -158,6 +203,52 @@
 	return out, nil
 }
 
+func (c *operatorsProtobufClient) SetDataCentreStatus(ctx context.Context, in *SetDataCentreStatusRequest) (*ChangeAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "SetDataCentreStatus")
+	caller := c.callSetDataCentreStatus
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SetDataCentreStatusRequest) (*ChangeAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SetDataCentreStatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SetDataCentreStatusRequest) when calling interceptor")
+					}
+					return c.callSetDataCentreStatus(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsProtobufClient) callSetDataCentreStatus(ctx context.Context, in *SetDataCentreStatusRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 func (c *operatorsProtobufClient) PutCell(ctx context.Context, in *PutCellRequest) (*ChangeAnswer, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
 	ctx = ctxsetters.WithServiceName(ctx, "Operators")
@@ -189,7 +280,7 @@
 
 func (c *operatorsProtobufClient) callPutCell(ctx context.Context, in *PutCellRequest) (*ChangeAnswer, error) {
 	out := new(ChangeAnswer)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -235,7 +326,7 @@
 
 func (c *operatorsProtobufClient) callPutWorkspace(ctx context.Context, in *PutWorkspaceRequest) (*ChangeAnswer, error) {
 	out := new(ChangeAnswer)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -281,7 +372,7 @@
 
 func (c *operatorsProtobufClient) callDeleteWorkspace(ctx context.Context, in *DeleteWorkspaceRequest) (*ChangeAnswer, error) {
 	out := new(ChangeAnswer)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -296,13 +387,13 @@
 	return out, nil
 }
 
-func (c *operatorsProtobufClient) CreateCallerKey(ctx context.Context, in *CreateCallerKeyRequest) (*CreateCallerKeyAnswer, error) {
+func (c *operatorsProtobufClient) CreateCallerKey(ctx context.Context, in *CreateCallerKeyRequest) (*ChangeAnswer, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
 	ctx = ctxsetters.WithServiceName(ctx, "Operators")
 	ctx = ctxsetters.WithMethodName(ctx, "CreateCallerKey")
 	caller := c.callCreateCallerKey
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *CreateCallerKeyRequest) (*CreateCallerKeyAnswer, error) {
+		caller = func(ctx context.Context, req *CreateCallerKeyRequest) (*ChangeAnswer, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
 					typedReq, ok := req.(*CreateCallerKeyRequest)
@@ -313,9 +404,9 @@
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*CreateCallerKeyAnswer)
+				typedResp, ok := resp.(*ChangeAnswer)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*CreateCallerKeyAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -325,9 +416,55 @@
 	return caller(ctx, in)
 }
 
-func (c *operatorsProtobufClient) callCreateCallerKey(ctx context.Context, in *CreateCallerKeyRequest) (*CreateCallerKeyAnswer, error) {
-	out := new(CreateCallerKeyAnswer)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+func (c *operatorsProtobufClient) callCreateCallerKey(ctx context.Context, in *CreateCallerKeyRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsProtobufClient) ListCallerKeys(ctx context.Context, in *ListCallerKeysRequest) (*CallerKeys, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "ListCallerKeys")
+	caller := c.callListCallerKeys
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ListCallerKeysRequest) (*CallerKeys, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListCallerKeysRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListCallerKeysRequest) when calling interceptor")
+					}
+					return c.callListCallerKeys(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CallerKeys)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CallerKeys) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsProtobufClient) callListCallerKeys(ctx context.Context, in *ListCallerKeysRequest) (*CallerKeys, error) {
+	out := new(CallerKeys)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -373,7 +510,7 @@
 
 func (c *operatorsProtobufClient) callWithdrawCallerKey(ctx context.Context, in *WithdrawCallerKeyRequest) (*ChangeAnswer, error) {
 	out := new(ChangeAnswer)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -419,7 +556,7 @@
 
 func (c *operatorsProtobufClient) callPutService(ctx context.Context, in *PutServiceRequest) (*ChangeAnswer, error) {
 	out := new(ChangeAnswer)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -465,7 +602,7 @@
 
 func (c *operatorsProtobufClient) callDeleteService(ctx context.Context, in *DeleteServiceRequest) (*ChangeAnswer, error) {
 	out := new(ChangeAnswer)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -480,26 +617,26 @@
 	return out, nil
 }
 
-func (c *operatorsProtobufClient) GetConfiguration(ctx context.Context, in *GetConfigurationRequest) (*Configuration, error) {
+func (c *operatorsProtobufClient) AddVoter(ctx context.Context, in *AddVoterRequest) (*ChangeAnswer, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
 	ctx = ctxsetters.WithServiceName(ctx, "Operators")
-	ctx = ctxsetters.WithMethodName(ctx, "GetConfiguration")
-	caller := c.callGetConfiguration
+	ctx = ctxsetters.WithMethodName(ctx, "AddVoter")
+	caller := c.callAddVoter
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *GetConfigurationRequest) (*Configuration, error) {
+		caller = func(ctx context.Context, req *AddVoterRequest) (*ChangeAnswer, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*GetConfigurationRequest)
+					typedReq, ok := req.(*AddVoterRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*GetConfigurationRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*AddVoterRequest) when calling interceptor")
 					}
-					return c.callGetConfiguration(ctx, typedReq)
+					return c.callAddVoter(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Configuration)
+				typedResp, ok := resp.(*ChangeAnswer)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Configuration) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -509,9 +646,9 @@
 	return caller(ctx, in)
 }
 
-func (c *operatorsProtobufClient) callGetConfiguration(ctx context.Context, in *GetConfigurationRequest) (*Configuration, error) {
-	out := new(Configuration)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+func (c *operatorsProtobufClient) callAddVoter(ctx context.Context, in *AddVoterRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[10], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -526,26 +663,26 @@
 	return out, nil
 }
 
-func (c *operatorsProtobufClient) GetStatus(ctx context.Context, in *GetStatusRequest) (*Status, error) {
+func (c *operatorsProtobufClient) ReplaceVoter(ctx context.Context, in *ReplaceVoterRequest) (*ChangeAnswer, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
 	ctx = ctxsetters.WithServiceName(ctx, "Operators")
-	ctx = ctxsetters.WithMethodName(ctx, "GetStatus")
-	caller := c.callGetStatus
+	ctx = ctxsetters.WithMethodName(ctx, "ReplaceVoter")
+	caller := c.callReplaceVoter
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *GetStatusRequest) (*Status, error) {
+		caller = func(ctx context.Context, req *ReplaceVoterRequest) (*ChangeAnswer, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*GetStatusRequest)
+					typedReq, ok := req.(*ReplaceVoterRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*GetStatusRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReplaceVoterRequest) when calling interceptor")
 					}
-					return c.callGetStatus(ctx, typedReq)
+					return c.callReplaceVoter(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Status)
+				typedResp, ok := resp.(*ChangeAnswer)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Status) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -555,9 +692,9 @@
 	return caller(ctx, in)
 }
 
-func (c *operatorsProtobufClient) callGetStatus(ctx context.Context, in *GetStatusRequest) (*Status, error) {
-	out := new(Status)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
+func (c *operatorsProtobufClient) callReplaceVoter(ctx context.Context, in *ReplaceVoterRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[11], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -572,75 +709,20 @@
 	return out, nil
 }
 
-// =====================
-// Operators JSON Client
-// =====================
-
-type operatorsJSONClient struct {
-	client      HTTPClient
-	urls        [10]string
-	interceptor twirp.Interceptor
-	opts        twirp.ClientOptions
-}
-
-// NewOperatorsJSONClient creates a JSON client that implements the Operators interface.
-// It communicates using JSON and can be configured with a custom HTTPClient.
-func NewOperatorsJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Operators {
-	if c, ok := client.(*http.Client); ok {
-		client = withoutRedirects(c)
-	}
-
-	clientOpts := twirp.ClientOptions{}
-	for _, o := range opts {
-		o(&clientOpts)
-	}
-
-	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
-	literalURLs := false
-	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
-	var pathPrefix string
-	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
-		pathPrefix = "/twirp" // default prefix
-	}
-
-	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
-	serviceURL := sanitizeBaseURL(baseURL)
-	serviceURL += baseServicePath(pathPrefix, "comfreynotch.operators", "Operators")
-	urls := [10]string{
-		serviceURL + "PutDataCentre",
-		serviceURL + "PutCell",
-		serviceURL + "PutWorkspace",
-		serviceURL + "DeleteWorkspace",
-		serviceURL + "CreateCallerKey",
-		serviceURL + "WithdrawCallerKey",
-		serviceURL + "PutService",
-		serviceURL + "DeleteService",
-		serviceURL + "GetConfiguration",
-		serviceURL + "GetStatus",
-	}
-
-	return &operatorsJSONClient{
-		client:      client,
-		urls:        urls,
-		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
-		opts:        clientOpts,
-	}
-}
-
-func (c *operatorsJSONClient) PutDataCentre(ctx context.Context, in *PutDataCentreRequest) (*ChangeAnswer, error) {
+func (c *operatorsProtobufClient) RemoveVoter(ctx context.Context, in *RemoveVoterRequest) (*ChangeAnswer, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
 	ctx = ctxsetters.WithServiceName(ctx, "Operators")
-	ctx = ctxsetters.WithMethodName(ctx, "PutDataCentre")
-	caller := c.callPutDataCentre
+	ctx = ctxsetters.WithMethodName(ctx, "RemoveVoter")
+	caller := c.callRemoveVoter
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *PutDataCentreRequest) (*ChangeAnswer, error) {
+		caller = func(ctx context.Context, req *RemoveVoterRequest) (*ChangeAnswer, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*PutDataCentreRequest)
+					typedReq, ok := req.(*RemoveVoterRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*PutDataCentreRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*RemoveVoterRequest) when calling interceptor")
 					}
-					return c.callPutDataCentre(ctx, typedReq)
+					return c.callRemoveVoter(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
@@ -656,9 +738,9 @@
 	return caller(ctx, in)
 }
 
-func (c *operatorsJSONClient) callPutDataCentre(ctx context.Context, in *PutDataCentreRequest) (*ChangeAnswer, error) {
+func (c *operatorsProtobufClient) callRemoveVoter(ctx context.Context, in *RemoveVoterRequest) (*ChangeAnswer, error) {
 	out := new(ChangeAnswer)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[12], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -673,26 +755,26 @@
 	return out, nil
 }
 
-func (c *operatorsJSONClient) PutCell(ctx context.Context, in *PutCellRequest) (*ChangeAnswer, error) {
+func (c *operatorsProtobufClient) ListTargets(ctx context.Context, in *ListTargetsRequest) (*Targets, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
 	ctx = ctxsetters.WithServiceName(ctx, "Operators")
-	ctx = ctxsetters.WithMethodName(ctx, "PutCell")
-	caller := c.callPutCell
+	ctx = ctxsetters.WithMethodName(ctx, "ListTargets")
+	caller := c.callListTargets
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *PutCellRequest) (*ChangeAnswer, error) {
+		caller = func(ctx context.Context, req *ListTargetsRequest) (*Targets, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*PutCellRequest)
+					typedReq, ok := req.(*ListTargetsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*PutCellRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ListTargetsRequest) when calling interceptor")
 					}
-					return c.callPutCell(ctx, typedReq)
+					return c.callListTargets(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ChangeAnswer)
+				typedResp, ok := resp.(*Targets)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Targets) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -702,9 +784,9 @@
 	return caller(ctx, in)
 }
 
-func (c *operatorsJSONClient) callPutCell(ctx context.Context, in *PutCellRequest) (*ChangeAnswer, error) {
-	out := new(ChangeAnswer)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+func (c *operatorsProtobufClient) callListTargets(ctx context.Context, in *ListTargetsRequest) (*Targets, error) {
+	out := new(Targets)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[13], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -719,20 +801,20 @@
 	return out, nil
 }
 
-func (c *operatorsJSONClient) PutWorkspace(ctx context.Context, in *PutWorkspaceRequest) (*ChangeAnswer, error) {
+func (c *operatorsProtobufClient) DrainTarget(ctx context.Context, in *DrainTargetRequest) (*ChangeAnswer, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
 	ctx = ctxsetters.WithServiceName(ctx, "Operators")
-	ctx = ctxsetters.WithMethodName(ctx, "PutWorkspace")
-	caller := c.callPutWorkspace
+	ctx = ctxsetters.WithMethodName(ctx, "DrainTarget")
+	caller := c.callDrainTarget
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *PutWorkspaceRequest) (*ChangeAnswer, error) {
+		caller = func(ctx context.Context, req *DrainTargetRequest) (*ChangeAnswer, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*PutWorkspaceRequest)
+					typedReq, ok := req.(*DrainTargetRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*PutWorkspaceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*DrainTargetRequest) when calling interceptor")
 					}
-					return c.callPutWorkspace(ctx, typedReq)
+					return c.callDrainTarget(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
@@ -748,9 +830,9 @@
 	return caller(ctx, in)
 }
 
-func (c *operatorsJSONClient) callPutWorkspace(ctx context.Context, in *PutWorkspaceRequest) (*ChangeAnswer, error) {
+func (c *operatorsProtobufClient) callDrainTarget(ctx context.Context, in *DrainTargetRequest) (*ChangeAnswer, error) {
 	out := new(ChangeAnswer)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[14], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -765,26 +847,26 @@
 	return out, nil
 }
 
-func (c *operatorsJSONClient) DeleteWorkspace(ctx context.Context, in *DeleteWorkspaceRequest) (*ChangeAnswer, error) {
+func (c *operatorsProtobufClient) ListHotKeys(ctx context.Context, in *ListHotKeysRequest) (*HotKeys, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
 	ctx = ctxsetters.WithServiceName(ctx, "Operators")
-	ctx = ctxsetters.WithMethodName(ctx, "DeleteWorkspace")
-	caller := c.callDeleteWorkspace
+	ctx = ctxsetters.WithMethodName(ctx, "ListHotKeys")
+	caller := c.callListHotKeys
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *DeleteWorkspaceRequest) (*ChangeAnswer, error) {
+		caller = func(ctx context.Context, req *ListHotKeysRequest) (*HotKeys, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*DeleteWorkspaceRequest)
+					typedReq, ok := req.(*ListHotKeysRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*DeleteWorkspaceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ListHotKeysRequest) when calling interceptor")
 					}
-					return c.callDeleteWorkspace(ctx, typedReq)
+					return c.callListHotKeys(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ChangeAnswer)
+				typedResp, ok := resp.(*HotKeys)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*HotKeys) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -794,9 +876,9 @@
 	return caller(ctx, in)
 }
 
-func (c *operatorsJSONClient) callDeleteWorkspace(ctx context.Context, in *DeleteWorkspaceRequest) (*ChangeAnswer, error) {
-	out := new(ChangeAnswer)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+func (c *operatorsProtobufClient) callListHotKeys(ctx context.Context, in *ListHotKeysRequest) (*HotKeys, error) {
+	out := new(HotKeys)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[15], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -811,26 +893,26 @@
 	return out, nil
 }
 
-func (c *operatorsJSONClient) CreateCallerKey(ctx context.Context, in *CreateCallerKeyRequest) (*CreateCallerKeyAnswer, error) {
+func (c *operatorsProtobufClient) PinKey(ctx context.Context, in *PinKeyRequest) (*ChangeAnswer, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
 	ctx = ctxsetters.WithServiceName(ctx, "Operators")
-	ctx = ctxsetters.WithMethodName(ctx, "CreateCallerKey")
-	caller := c.callCreateCallerKey
+	ctx = ctxsetters.WithMethodName(ctx, "PinKey")
+	caller := c.callPinKey
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *CreateCallerKeyRequest) (*CreateCallerKeyAnswer, error) {
+		caller = func(ctx context.Context, req *PinKeyRequest) (*ChangeAnswer, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*CreateCallerKeyRequest)
+					typedReq, ok := req.(*PinKeyRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*CreateCallerKeyRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*PinKeyRequest) when calling interceptor")
 					}
-					return c.callCreateCallerKey(ctx, typedReq)
+					return c.callPinKey(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*CreateCallerKeyAnswer)
+				typedResp, ok := resp.(*ChangeAnswer)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*CreateCallerKeyAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -840,9 +922,9 @@
 	return caller(ctx, in)
 }
 
-func (c *operatorsJSONClient) callCreateCallerKey(ctx context.Context, in *CreateCallerKeyRequest) (*CreateCallerKeyAnswer, error) {
-	out := new(CreateCallerKeyAnswer)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+func (c *operatorsProtobufClient) callPinKey(ctx context.Context, in *PinKeyRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[16], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -857,20 +939,20 @@
 	return out, nil
 }
 
-func (c *operatorsJSONClient) WithdrawCallerKey(ctx context.Context, in *WithdrawCallerKeyRequest) (*ChangeAnswer, error) {
+func (c *operatorsProtobufClient) Assign(ctx context.Context, in *AssignRequest) (*ChangeAnswer, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
 	ctx = ctxsetters.WithServiceName(ctx, "Operators")
-	ctx = ctxsetters.WithMethodName(ctx, "WithdrawCallerKey")
-	caller := c.callWithdrawCallerKey
+	ctx = ctxsetters.WithMethodName(ctx, "Assign")
+	caller := c.callAssign
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *WithdrawCallerKeyRequest) (*ChangeAnswer, error) {
+		caller = func(ctx context.Context, req *AssignRequest) (*ChangeAnswer, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*WithdrawCallerKeyRequest)
+					typedReq, ok := req.(*AssignRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*WithdrawCallerKeyRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*AssignRequest) when calling interceptor")
 					}
-					return c.callWithdrawCallerKey(ctx, typedReq)
+					return c.callAssign(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
@@ -886,9 +968,9 @@
 	return caller(ctx, in)
 }
 
-func (c *operatorsJSONClient) callWithdrawCallerKey(ctx context.Context, in *WithdrawCallerKeyRequest) (*ChangeAnswer, error) {
+func (c *operatorsProtobufClient) callAssign(ctx context.Context, in *AssignRequest) (*ChangeAnswer, error) {
 	out := new(ChangeAnswer)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[17], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -903,26 +985,26 @@
 	return out, nil
 }
 
-func (c *operatorsJSONClient) PutService(ctx context.Context, in *PutServiceRequest) (*ChangeAnswer, error) {
+func (c *operatorsProtobufClient) ListAssignments(ctx context.Context, in *ListAssignmentsRequest) (*Assignments, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
 	ctx = ctxsetters.WithServiceName(ctx, "Operators")
-	ctx = ctxsetters.WithMethodName(ctx, "PutService")
-	caller := c.callPutService
+	ctx = ctxsetters.WithMethodName(ctx, "ListAssignments")
+	caller := c.callListAssignments
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *PutServiceRequest) (*ChangeAnswer, error) {
+		caller = func(ctx context.Context, req *ListAssignmentsRequest) (*Assignments, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*PutServiceRequest)
+					typedReq, ok := req.(*ListAssignmentsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*PutServiceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ListAssignmentsRequest) when calling interceptor")
 					}
-					return c.callPutService(ctx, typedReq)
+					return c.callListAssignments(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ChangeAnswer)
+				typedResp, ok := resp.(*Assignments)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Assignments) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -932,9 +1014,9 @@
 	return caller(ctx, in)
 }
 
-func (c *operatorsJSONClient) callPutService(ctx context.Context, in *PutServiceRequest) (*ChangeAnswer, error) {
-	out := new(ChangeAnswer)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+func (c *operatorsProtobufClient) callListAssignments(ctx context.Context, in *ListAssignmentsRequest) (*Assignments, error) {
+	out := new(Assignments)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[18], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -949,20 +1031,272 @@
 	return out, nil
 }
 
-func (c *operatorsJSONClient) DeleteService(ctx context.Context, in *DeleteServiceRequest) (*ChangeAnswer, error) {
+func (c *operatorsProtobufClient) GetConfiguration(ctx context.Context, in *GetConfigurationRequest) (*Configuration, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
 	ctx = ctxsetters.WithServiceName(ctx, "Operators")
-	ctx = ctxsetters.WithMethodName(ctx, "DeleteService")
-	caller := c.callDeleteService
+	ctx = ctxsetters.WithMethodName(ctx, "GetConfiguration")
+	caller := c.callGetConfiguration
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *DeleteServiceRequest) (*ChangeAnswer, error) {
+		caller = func(ctx context.Context, req *GetConfigurationRequest) (*Configuration, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*DeleteServiceRequest)
+					typedReq, ok := req.(*GetConfigurationRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*DeleteServiceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*GetConfigurationRequest) when calling interceptor")
 					}
-					return c.callDeleteService(ctx, typedReq)
+					return c.callGetConfiguration(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Configuration)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Configuration) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsProtobufClient) callGetConfiguration(ctx context.Context, in *GetConfigurationRequest) (*Configuration, error) {
+	out := new(Configuration)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[19], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsProtobufClient) GetStatus(ctx context.Context, in *GetStatusRequest) (*Status, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "GetStatus")
+	caller := c.callGetStatus
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GetStatusRequest) (*Status, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetStatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetStatusRequest) when calling interceptor")
+					}
+					return c.callGetStatus(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Status)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Status) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsProtobufClient) callGetStatus(ctx context.Context, in *GetStatusRequest) (*Status, error) {
+	out := new(Status)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[20], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsProtobufClient) Explain(ctx context.Context, in *ExplainRequest) (*Explanation, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "Explain")
+	caller := c.callExplain
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ExplainRequest) (*Explanation, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ExplainRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ExplainRequest) when calling interceptor")
+					}
+					return c.callExplain(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Explanation)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Explanation) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsProtobufClient) callExplain(ctx context.Context, in *ExplainRequest) (*Explanation, error) {
+	out := new(Explanation)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[21], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsProtobufClient) GetEvents(ctx context.Context, in *GetEventsRequest) (*Events, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "GetEvents")
+	caller := c.callGetEvents
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GetEventsRequest) (*Events, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetEventsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetEventsRequest) when calling interceptor")
+					}
+					return c.callGetEvents(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Events)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Events) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsProtobufClient) callGetEvents(ctx context.Context, in *GetEventsRequest) (*Events, error) {
+	out := new(Events)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[22], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =====================
+// Operators JSON Client
+// =====================
+
+type operatorsJSONClient struct {
+	client      HTTPClient
+	urls        [23]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewOperatorsJSONClient creates a JSON client that implements the Operators interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewOperatorsJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Operators {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "comfreynotch.operators", "Operators")
+	urls := [23]string{
+		serviceURL + "PutDataCentre",
+		serviceURL + "SetDataCentreStatus",
+		serviceURL + "PutCell",
+		serviceURL + "PutWorkspace",
+		serviceURL + "DeleteWorkspace",
+		serviceURL + "CreateCallerKey",
+		serviceURL + "ListCallerKeys",
+		serviceURL + "WithdrawCallerKey",
+		serviceURL + "PutService",
+		serviceURL + "DeleteService",
+		serviceURL + "AddVoter",
+		serviceURL + "ReplaceVoter",
+		serviceURL + "RemoveVoter",
+		serviceURL + "ListTargets",
+		serviceURL + "DrainTarget",
+		serviceURL + "ListHotKeys",
+		serviceURL + "PinKey",
+		serviceURL + "Assign",
+		serviceURL + "ListAssignments",
+		serviceURL + "GetConfiguration",
+		serviceURL + "GetStatus",
+		serviceURL + "Explain",
+		serviceURL + "GetEvents",
+	}
+
+	return &operatorsJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *operatorsJSONClient) PutDataCentre(ctx context.Context, in *PutDataCentreRequest) (*ChangeAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "PutDataCentre")
+	caller := c.callPutDataCentre
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PutDataCentreRequest) (*ChangeAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PutDataCentreRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PutDataCentreRequest) when calling interceptor")
+					}
+					return c.callPutDataCentre(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
@@ -978,9 +1312,9 @@
 	return caller(ctx, in)
 }
 
-func (c *operatorsJSONClient) callDeleteService(ctx context.Context, in *DeleteServiceRequest) (*ChangeAnswer, error) {
+func (c *operatorsJSONClient) callPutDataCentre(ctx context.Context, in *PutDataCentreRequest) (*ChangeAnswer, error) {
 	out := new(ChangeAnswer)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -995,26 +1329,26 @@
 	return out, nil
 }
 
-func (c *operatorsJSONClient) GetConfiguration(ctx context.Context, in *GetConfigurationRequest) (*Configuration, error) {
+func (c *operatorsJSONClient) SetDataCentreStatus(ctx context.Context, in *SetDataCentreStatusRequest) (*ChangeAnswer, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
 	ctx = ctxsetters.WithServiceName(ctx, "Operators")
-	ctx = ctxsetters.WithMethodName(ctx, "GetConfiguration")
-	caller := c.callGetConfiguration
+	ctx = ctxsetters.WithMethodName(ctx, "SetDataCentreStatus")
+	caller := c.callSetDataCentreStatus
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *GetConfigurationRequest) (*Configuration, error) {
+		caller = func(ctx context.Context, req *SetDataCentreStatusRequest) (*ChangeAnswer, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*GetConfigurationRequest)
+					typedReq, ok := req.(*SetDataCentreStatusRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*GetConfigurationRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SetDataCentreStatusRequest) when calling interceptor")
 					}
-					return c.callGetConfiguration(ctx, typedReq)
+					return c.callSetDataCentreStatus(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Configuration)
+				typedResp, ok := resp.(*ChangeAnswer)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Configuration) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1024,9 +1358,9 @@
 	return caller(ctx, in)
 }
 
-func (c *operatorsJSONClient) callGetConfiguration(ctx context.Context, in *GetConfigurationRequest) (*Configuration, error) {
-	out := new(Configuration)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+func (c *operatorsJSONClient) callSetDataCentreStatus(ctx context.Context, in *SetDataCentreStatusRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -1041,187 +1375,3486 @@
 	return out, nil
 }
 
-func (c *operatorsJSONClient) GetStatus(ctx context.Context, in *GetStatusRequest) (*Status, error) {
+func (c *operatorsJSONClient) PutCell(ctx context.Context, in *PutCellRequest) (*ChangeAnswer, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
 	ctx = ctxsetters.WithServiceName(ctx, "Operators")
-	ctx = ctxsetters.WithMethodName(ctx, "GetStatus")
-	caller := c.callGetStatus
+	ctx = ctxsetters.WithMethodName(ctx, "PutCell")
+	caller := c.callPutCell
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *GetStatusRequest) (*Status, error) {
+		caller = func(ctx context.Context, req *PutCellRequest) (*ChangeAnswer, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*GetStatusRequest)
+					typedReq, ok := req.(*PutCellRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PutCellRequest) when calling interceptor")
+					}
+					return c.callPutCell(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callPutCell(ctx context.Context, in *PutCellRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) PutWorkspace(ctx context.Context, in *PutWorkspaceRequest) (*ChangeAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "PutWorkspace")
+	caller := c.callPutWorkspace
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PutWorkspaceRequest) (*ChangeAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PutWorkspaceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PutWorkspaceRequest) when calling interceptor")
+					}
+					return c.callPutWorkspace(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callPutWorkspace(ctx context.Context, in *PutWorkspaceRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) DeleteWorkspace(ctx context.Context, in *DeleteWorkspaceRequest) (*ChangeAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "DeleteWorkspace")
+	caller := c.callDeleteWorkspace
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *DeleteWorkspaceRequest) (*ChangeAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DeleteWorkspaceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DeleteWorkspaceRequest) when calling interceptor")
+					}
+					return c.callDeleteWorkspace(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callDeleteWorkspace(ctx context.Context, in *DeleteWorkspaceRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) CreateCallerKey(ctx context.Context, in *CreateCallerKeyRequest) (*ChangeAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "CreateCallerKey")
+	caller := c.callCreateCallerKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *CreateCallerKeyRequest) (*ChangeAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*CreateCallerKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*CreateCallerKeyRequest) when calling interceptor")
+					}
+					return c.callCreateCallerKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callCreateCallerKey(ctx context.Context, in *CreateCallerKeyRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[5], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) ListCallerKeys(ctx context.Context, in *ListCallerKeysRequest) (*CallerKeys, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "ListCallerKeys")
+	caller := c.callListCallerKeys
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ListCallerKeysRequest) (*CallerKeys, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListCallerKeysRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListCallerKeysRequest) when calling interceptor")
+					}
+					return c.callListCallerKeys(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CallerKeys)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CallerKeys) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callListCallerKeys(ctx context.Context, in *ListCallerKeysRequest) (*CallerKeys, error) {
+	out := new(CallerKeys)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[6], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) WithdrawCallerKey(ctx context.Context, in *WithdrawCallerKeyRequest) (*ChangeAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "WithdrawCallerKey")
+	caller := c.callWithdrawCallerKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *WithdrawCallerKeyRequest) (*ChangeAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WithdrawCallerKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WithdrawCallerKeyRequest) when calling interceptor")
+					}
+					return c.callWithdrawCallerKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callWithdrawCallerKey(ctx context.Context, in *WithdrawCallerKeyRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) PutService(ctx context.Context, in *PutServiceRequest) (*ChangeAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "PutService")
+	caller := c.callPutService
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PutServiceRequest) (*ChangeAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PutServiceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PutServiceRequest) when calling interceptor")
+					}
+					return c.callPutService(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callPutService(ctx context.Context, in *PutServiceRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) DeleteService(ctx context.Context, in *DeleteServiceRequest) (*ChangeAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "DeleteService")
+	caller := c.callDeleteService
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *DeleteServiceRequest) (*ChangeAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DeleteServiceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DeleteServiceRequest) when calling interceptor")
+					}
+					return c.callDeleteService(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callDeleteService(ctx context.Context, in *DeleteServiceRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) AddVoter(ctx context.Context, in *AddVoterRequest) (*ChangeAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "AddVoter")
+	caller := c.callAddVoter
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AddVoterRequest) (*ChangeAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AddVoterRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AddVoterRequest) when calling interceptor")
+					}
+					return c.callAddVoter(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callAddVoter(ctx context.Context, in *AddVoterRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[10], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) ReplaceVoter(ctx context.Context, in *ReplaceVoterRequest) (*ChangeAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "ReplaceVoter")
+	caller := c.callReplaceVoter
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReplaceVoterRequest) (*ChangeAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReplaceVoterRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReplaceVoterRequest) when calling interceptor")
+					}
+					return c.callReplaceVoter(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callReplaceVoter(ctx context.Context, in *ReplaceVoterRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[11], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) RemoveVoter(ctx context.Context, in *RemoveVoterRequest) (*ChangeAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "RemoveVoter")
+	caller := c.callRemoveVoter
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RemoveVoterRequest) (*ChangeAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RemoveVoterRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RemoveVoterRequest) when calling interceptor")
+					}
+					return c.callRemoveVoter(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callRemoveVoter(ctx context.Context, in *RemoveVoterRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[12], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) ListTargets(ctx context.Context, in *ListTargetsRequest) (*Targets, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "ListTargets")
+	caller := c.callListTargets
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ListTargetsRequest) (*Targets, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListTargetsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListTargetsRequest) when calling interceptor")
+					}
+					return c.callListTargets(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Targets)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Targets) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callListTargets(ctx context.Context, in *ListTargetsRequest) (*Targets, error) {
+	out := new(Targets)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[13], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) DrainTarget(ctx context.Context, in *DrainTargetRequest) (*ChangeAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "DrainTarget")
+	caller := c.callDrainTarget
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *DrainTargetRequest) (*ChangeAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DrainTargetRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DrainTargetRequest) when calling interceptor")
+					}
+					return c.callDrainTarget(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callDrainTarget(ctx context.Context, in *DrainTargetRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[14], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) ListHotKeys(ctx context.Context, in *ListHotKeysRequest) (*HotKeys, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "ListHotKeys")
+	caller := c.callListHotKeys
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ListHotKeysRequest) (*HotKeys, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListHotKeysRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListHotKeysRequest) when calling interceptor")
+					}
+					return c.callListHotKeys(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HotKeys)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HotKeys) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callListHotKeys(ctx context.Context, in *ListHotKeysRequest) (*HotKeys, error) {
+	out := new(HotKeys)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[15], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) PinKey(ctx context.Context, in *PinKeyRequest) (*ChangeAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "PinKey")
+	caller := c.callPinKey
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *PinKeyRequest) (*ChangeAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PinKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PinKeyRequest) when calling interceptor")
+					}
+					return c.callPinKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callPinKey(ctx context.Context, in *PinKeyRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[16], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) Assign(ctx context.Context, in *AssignRequest) (*ChangeAnswer, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "Assign")
+	caller := c.callAssign
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AssignRequest) (*ChangeAnswer, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AssignRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AssignRequest) when calling interceptor")
+					}
+					return c.callAssign(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callAssign(ctx context.Context, in *AssignRequest) (*ChangeAnswer, error) {
+	out := new(ChangeAnswer)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[17], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) ListAssignments(ctx context.Context, in *ListAssignmentsRequest) (*Assignments, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "ListAssignments")
+	caller := c.callListAssignments
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ListAssignmentsRequest) (*Assignments, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListAssignmentsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListAssignmentsRequest) when calling interceptor")
+					}
+					return c.callListAssignments(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Assignments)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Assignments) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callListAssignments(ctx context.Context, in *ListAssignmentsRequest) (*Assignments, error) {
+	out := new(Assignments)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[18], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) GetConfiguration(ctx context.Context, in *GetConfigurationRequest) (*Configuration, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "GetConfiguration")
+	caller := c.callGetConfiguration
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GetConfigurationRequest) (*Configuration, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetConfigurationRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetConfigurationRequest) when calling interceptor")
+					}
+					return c.callGetConfiguration(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Configuration)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Configuration) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callGetConfiguration(ctx context.Context, in *GetConfigurationRequest) (*Configuration, error) {
+	out := new(Configuration)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[19], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) GetStatus(ctx context.Context, in *GetStatusRequest) (*Status, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "GetStatus")
+	caller := c.callGetStatus
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GetStatusRequest) (*Status, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetStatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetStatusRequest) when calling interceptor")
+					}
+					return c.callGetStatus(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Status)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Status) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callGetStatus(ctx context.Context, in *GetStatusRequest) (*Status, error) {
+	out := new(Status)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[20], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) Explain(ctx context.Context, in *ExplainRequest) (*Explanation, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "Explain")
+	caller := c.callExplain
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ExplainRequest) (*Explanation, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ExplainRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ExplainRequest) when calling interceptor")
+					}
+					return c.callExplain(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Explanation)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Explanation) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callExplain(ctx context.Context, in *ExplainRequest) (*Explanation, error) {
+	out := new(Explanation)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[21], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operatorsJSONClient) GetEvents(ctx context.Context, in *GetEventsRequest) (*Events, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithMethodName(ctx, "GetEvents")
+	caller := c.callGetEvents
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *GetEventsRequest) (*Events, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*GetEventsRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*GetEventsRequest) when calling interceptor")
+					}
+					return c.callGetEvents(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*Events)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*Events) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operatorsJSONClient) callGetEvents(ctx context.Context, in *GetEventsRequest) (*Events, error) {
+	out := new(Events)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[22], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ========================
+// Operators Server Handler
+// ========================
+
+type operatorsServer struct {
+	Operators
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewOperatorsServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewOperatorsServer(svc Operators, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &operatorsServer{
+		Operators:        svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *operatorsServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *operatorsServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// OperatorsPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const OperatorsPathPrefix = "/twirp/comfreynotch.operators.Operators/"
+
+func (s *operatorsServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
+	ctx = ctxsetters.WithServiceName(ctx, "Operators")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "comfreynotch.operators.Operators" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "PutDataCentre":
+		s.servePutDataCentre(ctx, resp, req)
+		return
+	case "SetDataCentreStatus":
+		s.serveSetDataCentreStatus(ctx, resp, req)
+		return
+	case "PutCell":
+		s.servePutCell(ctx, resp, req)
+		return
+	case "PutWorkspace":
+		s.servePutWorkspace(ctx, resp, req)
+		return
+	case "DeleteWorkspace":
+		s.serveDeleteWorkspace(ctx, resp, req)
+		return
+	case "CreateCallerKey":
+		s.serveCreateCallerKey(ctx, resp, req)
+		return
+	case "ListCallerKeys":
+		s.serveListCallerKeys(ctx, resp, req)
+		return
+	case "WithdrawCallerKey":
+		s.serveWithdrawCallerKey(ctx, resp, req)
+		return
+	case "PutService":
+		s.servePutService(ctx, resp, req)
+		return
+	case "DeleteService":
+		s.serveDeleteService(ctx, resp, req)
+		return
+	case "AddVoter":
+		s.serveAddVoter(ctx, resp, req)
+		return
+	case "ReplaceVoter":
+		s.serveReplaceVoter(ctx, resp, req)
+		return
+	case "RemoveVoter":
+		s.serveRemoveVoter(ctx, resp, req)
+		return
+	case "ListTargets":
+		s.serveListTargets(ctx, resp, req)
+		return
+	case "DrainTarget":
+		s.serveDrainTarget(ctx, resp, req)
+		return
+	case "ListHotKeys":
+		s.serveListHotKeys(ctx, resp, req)
+		return
+	case "PinKey":
+		s.servePinKey(ctx, resp, req)
+		return
+	case "Assign":
+		s.serveAssign(ctx, resp, req)
+		return
+	case "ListAssignments":
+		s.serveListAssignments(ctx, resp, req)
+		return
+	case "GetConfiguration":
+		s.serveGetConfiguration(ctx, resp, req)
+		return
+	case "GetStatus":
+		s.serveGetStatus(ctx, resp, req)
+		return
+	case "Explain":
+		s.serveExplain(ctx, resp, req)
+		return
+	case "GetEvents":
+		s.serveGetEvents(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *operatorsServer) servePutDataCentre(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.servePutDataCentreJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.servePutDataCentreProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorsServer) servePutDataCentreJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "PutDataCentre")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(PutDataCentreRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operators.PutDataCentre
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PutDataCentreRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PutDataCentreRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PutDataCentreRequest) when calling interceptor")
+					}
+					return s.Operators.PutDataCentre(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutDataCentre. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) servePutDataCentreProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "PutDataCentre")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(PutDataCentreRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operators.PutDataCentre
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PutDataCentreRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PutDataCentreRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PutDataCentreRequest) when calling interceptor")
+					}
+					return s.Operators.PutDataCentre(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutDataCentre. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveSetDataCentreStatus(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveSetDataCentreStatusJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveSetDataCentreStatusProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorsServer) serveSetDataCentreStatusJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "SetDataCentreStatus")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SetDataCentreStatusRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operators.SetDataCentreStatus
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SetDataCentreStatusRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SetDataCentreStatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SetDataCentreStatusRequest) when calling interceptor")
+					}
+					return s.Operators.SetDataCentreStatus(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling SetDataCentreStatus. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveSetDataCentreStatusProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "SetDataCentreStatus")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SetDataCentreStatusRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operators.SetDataCentreStatus
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SetDataCentreStatusRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SetDataCentreStatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SetDataCentreStatusRequest) when calling interceptor")
+					}
+					return s.Operators.SetDataCentreStatus(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling SetDataCentreStatus. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) servePutCell(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.servePutCellJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.servePutCellProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorsServer) servePutCellJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "PutCell")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(PutCellRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operators.PutCell
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PutCellRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PutCellRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PutCellRequest) when calling interceptor")
+					}
+					return s.Operators.PutCell(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutCell. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) servePutCellProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "PutCell")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(PutCellRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operators.PutCell
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PutCellRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PutCellRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PutCellRequest) when calling interceptor")
+					}
+					return s.Operators.PutCell(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutCell. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) servePutWorkspace(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.servePutWorkspaceJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.servePutWorkspaceProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorsServer) servePutWorkspaceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "PutWorkspace")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(PutWorkspaceRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operators.PutWorkspace
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PutWorkspaceRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PutWorkspaceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PutWorkspaceRequest) when calling interceptor")
+					}
+					return s.Operators.PutWorkspace(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutWorkspace. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) servePutWorkspaceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "PutWorkspace")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(PutWorkspaceRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operators.PutWorkspace
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PutWorkspaceRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PutWorkspaceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PutWorkspaceRequest) when calling interceptor")
+					}
+					return s.Operators.PutWorkspace(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutWorkspace. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveDeleteWorkspace(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveDeleteWorkspaceJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveDeleteWorkspaceProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorsServer) serveDeleteWorkspaceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "DeleteWorkspace")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(DeleteWorkspaceRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operators.DeleteWorkspace
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DeleteWorkspaceRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DeleteWorkspaceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DeleteWorkspaceRequest) when calling interceptor")
+					}
+					return s.Operators.DeleteWorkspace(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling DeleteWorkspace. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveDeleteWorkspaceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "DeleteWorkspace")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(DeleteWorkspaceRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operators.DeleteWorkspace
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DeleteWorkspaceRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DeleteWorkspaceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DeleteWorkspaceRequest) when calling interceptor")
+					}
+					return s.Operators.DeleteWorkspace(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling DeleteWorkspace. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveCreateCallerKey(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveCreateCallerKeyJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveCreateCallerKeyProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorsServer) serveCreateCallerKeyJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "CreateCallerKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(CreateCallerKeyRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operators.CreateCallerKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *CreateCallerKeyRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*CreateCallerKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*CreateCallerKeyRequest) when calling interceptor")
+					}
+					return s.Operators.CreateCallerKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling CreateCallerKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveCreateCallerKeyProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "CreateCallerKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(CreateCallerKeyRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operators.CreateCallerKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *CreateCallerKeyRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*CreateCallerKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*CreateCallerKeyRequest) when calling interceptor")
+					}
+					return s.Operators.CreateCallerKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling CreateCallerKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveListCallerKeys(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveListCallerKeysJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveListCallerKeysProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorsServer) serveListCallerKeysJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ListCallerKeys")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ListCallerKeysRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operators.ListCallerKeys
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ListCallerKeysRequest) (*CallerKeys, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListCallerKeysRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListCallerKeysRequest) when calling interceptor")
+					}
+					return s.Operators.ListCallerKeys(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CallerKeys)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CallerKeys) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *CallerKeys
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *CallerKeys and nil error while calling ListCallerKeys. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveListCallerKeysProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ListCallerKeys")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ListCallerKeysRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operators.ListCallerKeys
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ListCallerKeysRequest) (*CallerKeys, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ListCallerKeysRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ListCallerKeysRequest) when calling interceptor")
+					}
+					return s.Operators.ListCallerKeys(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CallerKeys)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CallerKeys) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *CallerKeys
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *CallerKeys and nil error while calling ListCallerKeys. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveWithdrawCallerKey(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveWithdrawCallerKeyJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveWithdrawCallerKeyProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorsServer) serveWithdrawCallerKeyJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "WithdrawCallerKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(WithdrawCallerKeyRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operators.WithdrawCallerKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *WithdrawCallerKeyRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WithdrawCallerKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WithdrawCallerKeyRequest) when calling interceptor")
+					}
+					return s.Operators.WithdrawCallerKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling WithdrawCallerKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveWithdrawCallerKeyProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "WithdrawCallerKey")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(WithdrawCallerKeyRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operators.WithdrawCallerKey
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *WithdrawCallerKeyRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*WithdrawCallerKeyRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*WithdrawCallerKeyRequest) when calling interceptor")
+					}
+					return s.Operators.WithdrawCallerKey(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling WithdrawCallerKey. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) servePutService(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.servePutServiceJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.servePutServiceProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorsServer) servePutServiceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "PutService")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(PutServiceRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operators.PutService
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PutServiceRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PutServiceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PutServiceRequest) when calling interceptor")
+					}
+					return s.Operators.PutService(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutService. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) servePutServiceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "PutService")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(PutServiceRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operators.PutService
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *PutServiceRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*PutServiceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*PutServiceRequest) when calling interceptor")
+					}
+					return s.Operators.PutService(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutService. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveDeleteService(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveDeleteServiceJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveDeleteServiceProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorsServer) serveDeleteServiceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "DeleteService")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(DeleteServiceRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operators.DeleteService
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DeleteServiceRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DeleteServiceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DeleteServiceRequest) when calling interceptor")
+					}
+					return s.Operators.DeleteService(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling DeleteService. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveDeleteServiceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "DeleteService")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(DeleteServiceRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operators.DeleteService
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DeleteServiceRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DeleteServiceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DeleteServiceRequest) when calling interceptor")
+					}
+					return s.Operators.DeleteService(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling DeleteService. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveAddVoter(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAddVoterJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAddVoterProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorsServer) serveAddVoterJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "AddVoter")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(AddVoterRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operators.AddVoter
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AddVoterRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AddVoterRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AddVoterRequest) when calling interceptor")
+					}
+					return s.Operators.AddVoter(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling AddVoter. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveAddVoterProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "AddVoter")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(AddVoterRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operators.AddVoter
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AddVoterRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AddVoterRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*GetStatusRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*AddVoterRequest) when calling interceptor")
 					}
-					return c.callGetStatus(ctx, typedReq)
+					return s.Operators.AddVoter(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling AddVoter. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveReplaceVoter(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReplaceVoterJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReplaceVoterProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorsServer) serveReplaceVoterJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ReplaceVoter")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ReplaceVoterRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operators.ReplaceVoter
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReplaceVoterRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReplaceVoterRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReplaceVoterRequest) when calling interceptor")
+					}
+					return s.Operators.ReplaceVoter(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling ReplaceVoter. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveReplaceVoterProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "ReplaceVoter")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ReplaceVoterRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operators.ReplaceVoter
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReplaceVoterRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReplaceVoterRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReplaceVoterRequest) when calling interceptor")
+					}
+					return s.Operators.ReplaceVoter(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling ReplaceVoter. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operatorsServer) serveRemoveVoter(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveRemoveVoterJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveRemoveVoterProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operatorsServer) serveRemoveVoterJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "RemoveVoter")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(RemoveVoterRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operators.RemoveVoter
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RemoveVoterRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RemoveVoterRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RemoveVoterRequest) when calling interceptor")
+					}
+					return s.Operators.RemoveVoter(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Status)
+				typedResp, ok := resp.(*ChangeAnswer)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Status) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
 				}
 				return typedResp, err
 			}
 			return nil, err
 		}
 	}
-	return caller(ctx, in)
-}
 
-func (c *operatorsJSONClient) callGetStatus(ctx context.Context, in *GetStatusRequest) (*Status, error) {
-	out := new(Status)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
 	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling RemoveVoter. nil responses are not supported"))
+		return
 	}
 
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
-// ========================
-// Operators Server Handler
-// ========================
-
-type operatorsServer struct {
-	Operators
-	interceptor      twirp.Interceptor
-	hooks            *twirp.ServerHooks
-	pathPrefix       string // prefix for routing
-	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
-	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
-}
-
-// NewOperatorsServer builds a TwirpServer that can be used as an http.Handler to handle
-// HTTP requests that are routed to the right method in the provided svc implementation.
-// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
-func NewOperatorsServer(svc Operators, opts ...interface{}) TwirpServer {
-	serverOpts := newServerOpts(opts)
+	ctx = callResponsePrepared(ctx, s.hooks)
 
-	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
-	jsonSkipDefaults := false
-	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
-	jsonCamelCase := false
-	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
-	var pathPrefix string
-	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
-		pathPrefix = "/twirp" // default prefix
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
 	}
 
-	return &operatorsServer{
-		Operators:        svc,
-		hooks:            serverOpts.Hooks,
-		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
-		pathPrefix:       pathPrefix,
-		jsonSkipDefaults: jsonSkipDefaults,
-		jsonCamelCase:    jsonCamelCase,
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
 	}
+	callResponseSent(ctx, s.hooks)
 }
 
-// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
-// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func (s *operatorsServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
-	writeError(ctx, resp, err, s.hooks)
-}
+func (s *operatorsServer) serveRemoveVoterProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "RemoveVoter")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
 
-// handleRequestBodyError is used to handle error when the twirp server cannot read request
-func (s *operatorsServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
-	if context.Canceled == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	if context.DeadlineExceeded == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+	reqContent := new(RemoveVoterRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
-	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
-}
 
-// OperatorsPathPrefix is a convenience constant that may identify URL paths.
-// Should be used with caution, it only matches routes generated by Twirp Go clients,
-// with the default "/twirp" prefix and default CamelCase service and method names.
-// More info: https://twitchtv.github.io/twirp/docs/routing.html
-const OperatorsPathPrefix = "/twirp/comfreynotch.operators.Operators/"
+	handler := s.Operators.RemoveVoter
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RemoveVoterRequest) (*ChangeAnswer, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RemoveVoterRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RemoveVoterRequest) when calling interceptor")
+					}
+					return s.Operators.RemoveVoter(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ChangeAnswer)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
 
-func (s *operatorsServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
-	ctx := req.Context()
-	ctx = ctxsetters.WithPackageName(ctx, "comfreynotch.operators")
-	ctx = ctxsetters.WithServiceName(ctx, "Operators")
-	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+	// Call service method
+	var respContent *ChangeAnswer
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
 
-	var err error
-	ctx, err = callRequestReceived(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
 		return
 	}
-
-	if req.Method != "POST" {
-		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling RemoveVoter. nil responses are not supported"))
 		return
 	}
 
-	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
-	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
-	if pkgService != "comfreynotch.operators.Operators" {
-		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
-		return
-	}
-	if prefix != s.pathPrefix {
-		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
 		return
 	}
 
-	switch method {
-	case "PutDataCentre":
-		s.servePutDataCentre(ctx, resp, req)
-		return
-	case "PutCell":
-		s.servePutCell(ctx, resp, req)
-		return
-	case "PutWorkspace":
-		s.servePutWorkspace(ctx, resp, req)
-		return
-	case "DeleteWorkspace":
-		s.serveDeleteWorkspace(ctx, resp, req)
-		return
-	case "CreateCallerKey":
-		s.serveCreateCallerKey(ctx, resp, req)
-		return
-	case "WithdrawCallerKey":
-		s.serveWithdrawCallerKey(ctx, resp, req)
-		return
-	case "PutService":
-		s.servePutService(ctx, resp, req)
-		return
-	case "DeleteService":
-		s.serveDeleteService(ctx, resp, req)
-		return
-	case "GetConfiguration":
-		s.serveGetConfiguration(ctx, resp, req)
-		return
-	case "GetStatus":
-		s.serveGetStatus(ctx, resp, req)
-		return
-	default:
-		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
-		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
-		return
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
 	}
+	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) servePutDataCentre(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveListTargets(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1229,9 +4862,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.servePutDataCentreJSON(ctx, resp, req)
+		s.serveListTargetsJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.servePutDataCentreProtobuf(ctx, resp, req)
+		s.serveListTargetsProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1239,9 +4872,9 @@
 	}
 }
 
-func (s *operatorsServer) servePutDataCentreJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveListTargetsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "PutDataCentre")
+	ctx = ctxsetters.WithMethodName(ctx, "ListTargets")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1254,29 +4887,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(PutDataCentreRequest)
+	reqContent := new(ListTargetsRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Operators.PutDataCentre
+	handler := s.Operators.ListTargets
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *PutDataCentreRequest) (*ChangeAnswer, error) {
+		handler = func(ctx context.Context, req *ListTargetsRequest) (*Targets, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*PutDataCentreRequest)
+					typedReq, ok := req.(*ListTargetsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*PutDataCentreRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ListTargetsRequest) when calling interceptor")
 					}
-					return s.Operators.PutDataCentre(ctx, typedReq)
+					return s.Operators.ListTargets(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ChangeAnswer)
+				typedResp, ok := resp.(*Targets)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Targets) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1285,7 +4918,7 @@
 	}
 
 	// Call service method
-	var respContent *ChangeAnswer
+	var respContent *Targets
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1296,7 +4929,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutDataCentre. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Targets and nil error while calling ListTargets. nil responses are not supported"))
 		return
 	}
 
@@ -1322,9 +4955,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) servePutDataCentreProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveListTargetsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "PutDataCentre")
+	ctx = ctxsetters.WithMethodName(ctx, "ListTargets")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1336,28 +4969,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(PutDataCentreRequest)
+	reqContent := new(ListTargetsRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Operators.PutDataCentre
+	handler := s.Operators.ListTargets
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *PutDataCentreRequest) (*ChangeAnswer, error) {
+		handler = func(ctx context.Context, req *ListTargetsRequest) (*Targets, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*PutDataCentreRequest)
+					typedReq, ok := req.(*ListTargetsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*PutDataCentreRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ListTargetsRequest) when calling interceptor")
 					}
-					return s.Operators.PutDataCentre(ctx, typedReq)
+					return s.Operators.ListTargets(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ChangeAnswer)
+				typedResp, ok := resp.(*Targets)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Targets) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1366,7 +4999,7 @@
 	}
 
 	// Call service method
-	var respContent *ChangeAnswer
+	var respContent *Targets
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1377,7 +5010,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutDataCentre. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Targets and nil error while calling ListTargets. nil responses are not supported"))
 		return
 	}
 
@@ -1401,7 +5034,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) servePutCell(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveDrainTarget(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1409,9 +5042,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.servePutCellJSON(ctx, resp, req)
+		s.serveDrainTargetJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.servePutCellProtobuf(ctx, resp, req)
+		s.serveDrainTargetProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1419,9 +5052,9 @@
 	}
 }
 
-func (s *operatorsServer) servePutCellJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveDrainTargetJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "PutCell")
+	ctx = ctxsetters.WithMethodName(ctx, "DrainTarget")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1434,23 +5067,23 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(PutCellRequest)
+	reqContent := new(DrainTargetRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Operators.PutCell
+	handler := s.Operators.DrainTarget
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *PutCellRequest) (*ChangeAnswer, error) {
+		handler = func(ctx context.Context, req *DrainTargetRequest) (*ChangeAnswer, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*PutCellRequest)
+					typedReq, ok := req.(*DrainTargetRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*PutCellRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*DrainTargetRequest) when calling interceptor")
 					}
-					return s.Operators.PutCell(ctx, typedReq)
+					return s.Operators.DrainTarget(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
@@ -1476,7 +5109,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutCell. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling DrainTarget. nil responses are not supported"))
 		return
 	}
 
@@ -1502,9 +5135,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) servePutCellProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveDrainTargetProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "PutCell")
+	ctx = ctxsetters.WithMethodName(ctx, "DrainTarget")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1516,22 +5149,22 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(PutCellRequest)
+	reqContent := new(DrainTargetRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Operators.PutCell
+	handler := s.Operators.DrainTarget
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *PutCellRequest) (*ChangeAnswer, error) {
+		handler = func(ctx context.Context, req *DrainTargetRequest) (*ChangeAnswer, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*PutCellRequest)
+					typedReq, ok := req.(*DrainTargetRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*PutCellRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*DrainTargetRequest) when calling interceptor")
 					}
-					return s.Operators.PutCell(ctx, typedReq)
+					return s.Operators.DrainTarget(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
@@ -1557,7 +5190,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutCell. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling DrainTarget. nil responses are not supported"))
 		return
 	}
 
@@ -1581,7 +5214,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) servePutWorkspace(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveListHotKeys(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1589,9 +5222,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.servePutWorkspaceJSON(ctx, resp, req)
+		s.serveListHotKeysJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.servePutWorkspaceProtobuf(ctx, resp, req)
+		s.serveListHotKeysProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1599,9 +5232,9 @@
 	}
 }
 
-func (s *operatorsServer) servePutWorkspaceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveListHotKeysJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "PutWorkspace")
+	ctx = ctxsetters.WithMethodName(ctx, "ListHotKeys")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1614,29 +5247,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(PutWorkspaceRequest)
+	reqContent := new(ListHotKeysRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Operators.PutWorkspace
+	handler := s.Operators.ListHotKeys
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *PutWorkspaceRequest) (*ChangeAnswer, error) {
+		handler = func(ctx context.Context, req *ListHotKeysRequest) (*HotKeys, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*PutWorkspaceRequest)
+					typedReq, ok := req.(*ListHotKeysRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*PutWorkspaceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ListHotKeysRequest) when calling interceptor")
 					}
-					return s.Operators.PutWorkspace(ctx, typedReq)
+					return s.Operators.ListHotKeys(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ChangeAnswer)
+				typedResp, ok := resp.(*HotKeys)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*HotKeys) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1645,7 +5278,7 @@
 	}
 
 	// Call service method
-	var respContent *ChangeAnswer
+	var respContent *HotKeys
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1656,7 +5289,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutWorkspace. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HotKeys and nil error while calling ListHotKeys. nil responses are not supported"))
 		return
 	}
 
@@ -1682,9 +5315,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) servePutWorkspaceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveListHotKeysProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "PutWorkspace")
+	ctx = ctxsetters.WithMethodName(ctx, "ListHotKeys")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1696,28 +5329,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(PutWorkspaceRequest)
+	reqContent := new(ListHotKeysRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Operators.PutWorkspace
+	handler := s.Operators.ListHotKeys
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *PutWorkspaceRequest) (*ChangeAnswer, error) {
+		handler = func(ctx context.Context, req *ListHotKeysRequest) (*HotKeys, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*PutWorkspaceRequest)
+					typedReq, ok := req.(*ListHotKeysRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*PutWorkspaceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ListHotKeysRequest) when calling interceptor")
 					}
-					return s.Operators.PutWorkspace(ctx, typedReq)
+					return s.Operators.ListHotKeys(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ChangeAnswer)
+				typedResp, ok := resp.(*HotKeys)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*HotKeys) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1726,7 +5359,7 @@
 	}
 
 	// Call service method
-	var respContent *ChangeAnswer
+	var respContent *HotKeys
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1737,7 +5370,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutWorkspace. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HotKeys and nil error while calling ListHotKeys. nil responses are not supported"))
 		return
 	}
 
@@ -1761,7 +5394,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) serveDeleteWorkspace(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) servePinKey(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1769,9 +5402,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveDeleteWorkspaceJSON(ctx, resp, req)
+		s.servePinKeyJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveDeleteWorkspaceProtobuf(ctx, resp, req)
+		s.servePinKeyProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1779,9 +5412,9 @@
 	}
 }
 
-func (s *operatorsServer) serveDeleteWorkspaceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) servePinKeyJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "DeleteWorkspace")
+	ctx = ctxsetters.WithMethodName(ctx, "PinKey")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1794,23 +5427,23 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(DeleteWorkspaceRequest)
+	reqContent := new(PinKeyRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Operators.DeleteWorkspace
+	handler := s.Operators.PinKey
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *DeleteWorkspaceRequest) (*ChangeAnswer, error) {
+		handler = func(ctx context.Context, req *PinKeyRequest) (*ChangeAnswer, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*DeleteWorkspaceRequest)
+					typedReq, ok := req.(*PinKeyRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*DeleteWorkspaceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*PinKeyRequest) when calling interceptor")
 					}
-					return s.Operators.DeleteWorkspace(ctx, typedReq)
+					return s.Operators.PinKey(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
@@ -1836,7 +5469,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling DeleteWorkspace. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PinKey. nil responses are not supported"))
 		return
 	}
 
@@ -1862,9 +5495,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) serveDeleteWorkspaceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) servePinKeyProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "DeleteWorkspace")
+	ctx = ctxsetters.WithMethodName(ctx, "PinKey")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1876,22 +5509,22 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(DeleteWorkspaceRequest)
+	reqContent := new(PinKeyRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Operators.DeleteWorkspace
+	handler := s.Operators.PinKey
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *DeleteWorkspaceRequest) (*ChangeAnswer, error) {
+		handler = func(ctx context.Context, req *PinKeyRequest) (*ChangeAnswer, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*DeleteWorkspaceRequest)
+					typedReq, ok := req.(*PinKeyRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*DeleteWorkspaceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*PinKeyRequest) when calling interceptor")
 					}
-					return s.Operators.DeleteWorkspace(ctx, typedReq)
+					return s.Operators.PinKey(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
@@ -1917,7 +5550,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling DeleteWorkspace. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PinKey. nil responses are not supported"))
 		return
 	}
 
@@ -1941,7 +5574,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) serveCreateCallerKey(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveAssign(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1949,9 +5582,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveCreateCallerKeyJSON(ctx, resp, req)
+		s.serveAssignJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveCreateCallerKeyProtobuf(ctx, resp, req)
+		s.serveAssignProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1959,9 +5592,9 @@
 	}
 }
 
-func (s *operatorsServer) serveCreateCallerKeyJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveAssignJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "CreateCallerKey")
+	ctx = ctxsetters.WithMethodName(ctx, "Assign")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1974,29 +5607,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(CreateCallerKeyRequest)
+	reqContent := new(AssignRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Operators.CreateCallerKey
+	handler := s.Operators.Assign
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *CreateCallerKeyRequest) (*CreateCallerKeyAnswer, error) {
+		handler = func(ctx context.Context, req *AssignRequest) (*ChangeAnswer, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*CreateCallerKeyRequest)
+					typedReq, ok := req.(*AssignRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*CreateCallerKeyRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*AssignRequest) when calling interceptor")
 					}
-					return s.Operators.CreateCallerKey(ctx, typedReq)
+					return s.Operators.Assign(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*CreateCallerKeyAnswer)
+				typedResp, ok := resp.(*ChangeAnswer)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*CreateCallerKeyAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2005,7 +5638,7 @@
 	}
 
 	// Call service method
-	var respContent *CreateCallerKeyAnswer
+	var respContent *ChangeAnswer
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2016,7 +5649,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *CreateCallerKeyAnswer and nil error while calling CreateCallerKey. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling Assign. nil responses are not supported"))
 		return
 	}
 
@@ -2042,9 +5675,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) serveCreateCallerKeyProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveAssignProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "CreateCallerKey")
+	ctx = ctxsetters.WithMethodName(ctx, "Assign")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2056,28 +5689,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(CreateCallerKeyRequest)
+	reqContent := new(AssignRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Operators.CreateCallerKey
+	handler := s.Operators.Assign
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *CreateCallerKeyRequest) (*CreateCallerKeyAnswer, error) {
+		handler = func(ctx context.Context, req *AssignRequest) (*ChangeAnswer, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*CreateCallerKeyRequest)
+					typedReq, ok := req.(*AssignRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*CreateCallerKeyRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*AssignRequest) when calling interceptor")
 					}
-					return s.Operators.CreateCallerKey(ctx, typedReq)
+					return s.Operators.Assign(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*CreateCallerKeyAnswer)
+				typedResp, ok := resp.(*ChangeAnswer)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*CreateCallerKeyAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2086,7 +5719,7 @@
 	}
 
 	// Call service method
-	var respContent *CreateCallerKeyAnswer
+	var respContent *ChangeAnswer
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2097,7 +5730,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *CreateCallerKeyAnswer and nil error while calling CreateCallerKey. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling Assign. nil responses are not supported"))
 		return
 	}
 
@@ -2121,7 +5754,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) serveWithdrawCallerKey(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveListAssignments(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -2129,9 +5762,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveWithdrawCallerKeyJSON(ctx, resp, req)
+		s.serveListAssignmentsJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveWithdrawCallerKeyProtobuf(ctx, resp, req)
+		s.serveListAssignmentsProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -2139,9 +5772,9 @@
 	}
 }
 
-func (s *operatorsServer) serveWithdrawCallerKeyJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveListAssignmentsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "WithdrawCallerKey")
+	ctx = ctxsetters.WithMethodName(ctx, "ListAssignments")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
