@@ -2154,29 +5787,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(WithdrawCallerKeyRequest)
+	reqContent := new(ListAssignmentsRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Operators.WithdrawCallerKey
+	handler := s.Operators.ListAssignments
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *WithdrawCallerKeyRequest) (*ChangeAnswer, error) {
+		handler = func(ctx context.Context, req *ListAssignmentsRequest) (*Assignments, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*WithdrawCallerKeyRequest)
+					typedReq, ok := req.(*ListAssignmentsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*WithdrawCallerKeyRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ListAssignmentsRequest) when calling interceptor")
 					}
-					return s.Operators.WithdrawCallerKey(ctx, typedReq)
+					return s.Operators.ListAssignments(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ChangeAnswer)
+				typedResp, ok := resp.(*Assignments)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Assignments) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2185,7 +5818,7 @@
 	}
 
 	// Call service method
-	var respContent *ChangeAnswer
+	var respContent *Assignments
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2196,7 +5829,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling WithdrawCallerKey. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Assignments and nil error while calling ListAssignments. nil responses are not supported"))
 		return
 	}
 
@@ -2222,9 +5855,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) serveWithdrawCallerKeyProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveListAssignmentsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "WithdrawCallerKey")
+	ctx = ctxsetters.WithMethodName(ctx, "ListAssignments")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2236,28 +5869,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(WithdrawCallerKeyRequest)
+	reqContent := new(ListAssignmentsRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Operators.WithdrawCallerKey
+	handler := s.Operators.ListAssignments
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *WithdrawCallerKeyRequest) (*ChangeAnswer, error) {
+		handler = func(ctx context.Context, req *ListAssignmentsRequest) (*Assignments, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*WithdrawCallerKeyRequest)
+					typedReq, ok := req.(*ListAssignmentsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*WithdrawCallerKeyRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ListAssignmentsRequest) when calling interceptor")
 					}
-					return s.Operators.WithdrawCallerKey(ctx, typedReq)
+					return s.Operators.ListAssignments(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ChangeAnswer)
+				typedResp, ok := resp.(*Assignments)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Assignments) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2266,7 +5899,7 @@
 	}
 
 	// Call service method
-	var respContent *ChangeAnswer
+	var respContent *Assignments
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2277,7 +5910,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling WithdrawCallerKey. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Assignments and nil error while calling ListAssignments. nil responses are not supported"))
 		return
 	}
 
@@ -2301,7 +5934,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) servePutService(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveGetConfiguration(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -2309,9 +5942,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.servePutServiceJSON(ctx, resp, req)
+		s.serveGetConfigurationJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.servePutServiceProtobuf(ctx, resp, req)
+		s.serveGetConfigurationProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -2319,9 +5952,9 @@
 	}
 }
 
-func (s *operatorsServer) servePutServiceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveGetConfigurationJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "PutService")
+	ctx = ctxsetters.WithMethodName(ctx, "GetConfiguration")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2334,29 +5967,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(PutServiceRequest)
+	reqContent := new(GetConfigurationRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Operators.PutService
+	handler := s.Operators.GetConfiguration
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *PutServiceRequest) (*ChangeAnswer, error) {
+		handler = func(ctx context.Context, req *GetConfigurationRequest) (*Configuration, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*PutServiceRequest)
+					typedReq, ok := req.(*GetConfigurationRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*PutServiceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*GetConfigurationRequest) when calling interceptor")
 					}
-					return s.Operators.PutService(ctx, typedReq)
+					return s.Operators.GetConfiguration(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ChangeAnswer)
+				typedResp, ok := resp.(*Configuration)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Configuration) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2365,7 +5998,7 @@
 	}
 
 	// Call service method
-	var respContent *ChangeAnswer
+	var respContent *Configuration
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2376,7 +6009,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutService. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Configuration and nil error while calling GetConfiguration. nil responses are not supported"))
 		return
 	}
 
@@ -2402,9 +6035,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) servePutServiceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveGetConfigurationProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "PutService")
+	ctx = ctxsetters.WithMethodName(ctx, "GetConfiguration")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2416,28 +6049,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(PutServiceRequest)
+	reqContent := new(GetConfigurationRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Operators.PutService
+	handler := s.Operators.GetConfiguration
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *PutServiceRequest) (*ChangeAnswer, error) {
+		handler = func(ctx context.Context, req *GetConfigurationRequest) (*Configuration, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*PutServiceRequest)
+					typedReq, ok := req.(*GetConfigurationRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*PutServiceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*GetConfigurationRequest) when calling interceptor")
 					}
-					return s.Operators.PutService(ctx, typedReq)
+					return s.Operators.GetConfiguration(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ChangeAnswer)
+				typedResp, ok := resp.(*Configuration)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Configuration) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2446,7 +6079,7 @@
 	}
 
 	// Call service method
-	var respContent *ChangeAnswer
+	var respContent *Configuration
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2457,7 +6090,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling PutService. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Configuration and nil error while calling GetConfiguration. nil responses are not supported"))
 		return
 	}
 
@@ -2481,7 +6114,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) serveDeleteService(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveGetStatus(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -2489,9 +6122,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveDeleteServiceJSON(ctx, resp, req)
+		s.serveGetStatusJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveDeleteServiceProtobuf(ctx, resp, req)
+		s.serveGetStatusProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -2499,9 +6132,9 @@
 	}
 }
 
-func (s *operatorsServer) serveDeleteServiceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveGetStatusJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "DeleteService")
+	ctx = ctxsetters.WithMethodName(ctx, "GetStatus")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2514,29 +6147,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(DeleteServiceRequest)
+	reqContent := new(GetStatusRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Operators.DeleteService
+	handler := s.Operators.GetStatus
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *DeleteServiceRequest) (*ChangeAnswer, error) {
+		handler = func(ctx context.Context, req *GetStatusRequest) (*Status, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*DeleteServiceRequest)
+					typedReq, ok := req.(*GetStatusRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*DeleteServiceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*GetStatusRequest) when calling interceptor")
 					}
-					return s.Operators.DeleteService(ctx, typedReq)
+					return s.Operators.GetStatus(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ChangeAnswer)
+				typedResp, ok := resp.(*Status)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Status) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2545,7 +6178,7 @@
 	}
 
 	// Call service method
-	var respContent *ChangeAnswer
+	var respContent *Status
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2556,7 +6189,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling DeleteService. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Status and nil error while calling GetStatus. nil responses are not supported"))
 		return
 	}
 
@@ -2582,9 +6215,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) serveDeleteServiceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveGetStatusProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "DeleteService")
+	ctx = ctxsetters.WithMethodName(ctx, "GetStatus")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2596,28 +6229,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(DeleteServiceRequest)
+	reqContent := new(GetStatusRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Operators.DeleteService
+	handler := s.Operators.GetStatus
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *DeleteServiceRequest) (*ChangeAnswer, error) {
+		handler = func(ctx context.Context, req *GetStatusRequest) (*Status, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*DeleteServiceRequest)
+					typedReq, ok := req.(*GetStatusRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*DeleteServiceRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*GetStatusRequest) when calling interceptor")
 					}
-					return s.Operators.DeleteService(ctx, typedReq)
+					return s.Operators.GetStatus(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ChangeAnswer)
+				typedResp, ok := resp.(*Status)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ChangeAnswer) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Status) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2626,7 +6259,7 @@
 	}
 
 	// Call service method
-	var respContent *ChangeAnswer
+	var respContent *Status
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2637,7 +6270,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ChangeAnswer and nil error while calling DeleteService. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Status and nil error while calling GetStatus. nil responses are not supported"))
 		return
 	}
 
@@ -2661,7 +6294,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) serveGetConfiguration(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveExplain(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -2669,9 +6302,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveGetConfigurationJSON(ctx, resp, req)
+		s.serveExplainJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveGetConfigurationProtobuf(ctx, resp, req)
+		s.serveExplainProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -2679,9 +6312,9 @@
 	}
 }
 
-func (s *operatorsServer) serveGetConfigurationJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveExplainJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "GetConfiguration")
+	ctx = ctxsetters.WithMethodName(ctx, "Explain")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2694,29 +6327,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(GetConfigurationRequest)
+	reqContent := new(ExplainRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Operators.GetConfiguration
+	handler := s.Operators.Explain
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *GetConfigurationRequest) (*Configuration, error) {
+		handler = func(ctx context.Context, req *ExplainRequest) (*Explanation, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*GetConfigurationRequest)
+					typedReq, ok := req.(*ExplainRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*GetConfigurationRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ExplainRequest) when calling interceptor")
 					}
-					return s.Operators.GetConfiguration(ctx, typedReq)
+					return s.Operators.Explain(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Configuration)
+				typedResp, ok := resp.(*Explanation)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Configuration) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Explanation) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2725,7 +6358,7 @@
 	}
 
 	// Call service method
-	var respContent *Configuration
+	var respContent *Explanation
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2736,7 +6369,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *Configuration and nil error while calling GetConfiguration. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Explanation and nil error while calling Explain. nil responses are not supported"))
 		return
 	}
 
@@ -2762,9 +6395,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) serveGetConfigurationProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveExplainProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "GetConfiguration")
+	ctx = ctxsetters.WithMethodName(ctx, "Explain")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2776,28 +6409,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(GetConfigurationRequest)
+	reqContent := new(ExplainRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Operators.GetConfiguration
+	handler := s.Operators.Explain
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *GetConfigurationRequest) (*Configuration, error) {
+		handler = func(ctx context.Context, req *ExplainRequest) (*Explanation, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*GetConfigurationRequest)
+					typedReq, ok := req.(*ExplainRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*GetConfigurationRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ExplainRequest) when calling interceptor")
 					}
-					return s.Operators.GetConfiguration(ctx, typedReq)
+					return s.Operators.Explain(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Configuration)
+				typedResp, ok := resp.(*Explanation)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Configuration) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Explanation) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2806,7 +6439,7 @@
 	}
 
 	// Call service method
-	var respContent *Configuration
+	var respContent *Explanation
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2817,7 +6450,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *Configuration and nil error while calling GetConfiguration. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Explanation and nil error while calling Explain. nil responses are not supported"))
 		return
 	}
 
@@ -2841,7 +6474,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) serveGetStatus(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveGetEvents(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -2849,9 +6482,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveGetStatusJSON(ctx, resp, req)
+		s.serveGetEventsJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveGetStatusProtobuf(ctx, resp, req)
+		s.serveGetEventsProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -2859,9 +6492,9 @@
 	}
 }
 
-func (s *operatorsServer) serveGetStatusJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveGetEventsJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "GetStatus")
+	ctx = ctxsetters.WithMethodName(ctx, "GetEvents")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2874,29 +6507,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(GetStatusRequest)
+	reqContent := new(GetEventsRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Operators.GetStatus
+	handler := s.Operators.GetEvents
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *GetStatusRequest) (*Status, error) {
+		handler = func(ctx context.Context, req *GetEventsRequest) (*Events, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*GetStatusRequest)
+					typedReq, ok := req.(*GetEventsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*GetStatusRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*GetEventsRequest) when calling interceptor")
 					}
-					return s.Operators.GetStatus(ctx, typedReq)
+					return s.Operators.GetEvents(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Status)
+				typedResp, ok := resp.(*Events)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Status) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Events) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2905,7 +6538,7 @@
 	}
 
 	// Call service method
-	var respContent *Status
+	var respContent *Events
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2916,7 +6549,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *Status and nil error while calling GetStatus. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Events and nil error while calling GetEvents. nil responses are not supported"))
 		return
 	}
 
@@ -2942,9 +6575,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *operatorsServer) serveGetStatusProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *operatorsServer) serveGetEventsProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "GetStatus")
+	ctx = ctxsetters.WithMethodName(ctx, "GetEvents")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2956,28 +6589,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(GetStatusRequest)
+	reqContent := new(GetEventsRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Operators.GetStatus
+	handler := s.Operators.GetEvents
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *GetStatusRequest) (*Status, error) {
+		handler = func(ctx context.Context, req *GetEventsRequest) (*Events, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*GetStatusRequest)
+					typedReq, ok := req.(*GetEventsRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*GetStatusRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*GetEventsRequest) when calling interceptor")
 					}
-					return s.Operators.GetStatus(ctx, typedReq)
+					return s.Operators.GetEvents(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*Status)
+				typedResp, ok := resp.(*Events)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*Status) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*Events) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2986,7 +6619,7 @@
 	}
 
 	// Call service method
-	var respContent *Status
+	var respContent *Events
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2997,7 +6630,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *Status and nil error while calling GetStatus. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *Events and nil error while calling GetEvents. nil responses are not supported"))
 		return
 	}
 
@@ -3602,80 +7235,156 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 1192 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xb4, 0x57, 0x5f, 0x6f, 0xdb, 0x54,
-	0x14, 0x97, 0xf3, 0x77, 0x39, 0x49, 0xda, 0xee, 0x52, 0x8a, 0xa9, 0xc6, 0xd6, 0x99, 0x0d, 0x65,
-	0xda, 0xe8, 0xa6, 0x30, 0x4d, 0x9a, 0x10, 0xa0, 0x35, 0x83, 0x6e, 0x82, 0x8a, 0xc8, 0x1b, 0xad,
-	0x84, 0x84, 0xac, 0x1b, 0xfb, 0x34, 0x31, 0x71, 0x6c, 0xef, 0xde, 0xeb, 0xb6, 0xe1, 0x81, 0x47,
-	0x90, 0x78, 0xe0, 0x85, 0x4f, 0xc5, 0x37, 0xe1, 0x3b, 0xf0, 0x82, 0x7c, 0xed, 0xeb, 0x38, 0x69,
-	0x9c, 0x45, 0xea, 0x78, 0xcb, 0xf9, 0xf9, 0xfc, 0xbb, 0xf7, 0x9c, 0xf3, 0x3b, 0x37, 0xb0, 0x19,
-	0x84, 0xc8, 0xa8, 0x08, 0x18, 0xdf, 0x0f, 0x59, 0x20, 0x02, 0xb2, 0x63, 0x07, 0x93, 0x53, 0x86,
-	0x53, 0x3f, 0x10, 0xf6, 0x68, 0x3f, 0xfb, 0x6a, 0x98, 0x50, 0xeb, 0x8d, 0xa8, 0x3f, 0x44, 0xf2,
-	0x11, 0x00, 0xc3, 0x37, 0x11, 0x72, 0x61, 0xb9, 0x8e, 0xae, 0xed, 0x69, 0x9d, 0x86, 0xd9, 0x48,
-	0x91, 0x97, 0x0e, 0xb9, 0x07, 0x5b, 0x78, 0x11, 0xa2, 0x2d, 0xd0, 0xb1, 0xce, 0x90, 0x71, 0x37,
-	0xf0, 0xf5, 0xd2, 0x9e, 0xd6, 0xa9, 0x98, 0x9b, 0x0a, 0x3f, 0x4e, 0x60, 0xa3, 0x03, 0xad, 0xc4,
-	0xe7, 0x33, 0x9f, 0x9f, 0x23, 0x23, 0x3a, 0xd4, 0x95, 0x85, 0x26, 0x2d, 0x94, 0x68, 0xf4, 0x01,
-	0x9e, 0x53, 0x41, 0x7b, 0xe8, 0x0b, 0x86, 0x84, 0x40, 0xc5, 0xa7, 0x13, 0x4c, 0x63, 0xcb, 0xdf,
-	0x64, 0x07, 0x6a, 0x0c, 0x87, 0x2a, 0x58, 0xc3, 0x4c, 0xa5, 0x18, 0xe7, 0x82, 0x8a, 0x88, 0xeb,
-	0xe5, 0x04, 0x4f, 0x24, 0xe3, 0x0b, 0x28, 0x1d, 0x1f, 0x2d, 0xf5, 0xf4, 0x31, 0xb4, 0x5d, 0xdf,
-	0x47, 0x66, 0x51, 0xc7, 0x61, 0xc8, 0x79, 0xea, 0xb0, 0x25, 0xc1, 0x67, 0x09, 0x66, 0xfc, 0xae,
-	0x41, 0xa5, 0x87, 0x9e, 0xb7, 0xd4, 0xc3, 0x2d, 0x68, 0x3a, 0x54, 0x50, 0xcb, 0x96, 0xe9, 0xa6,
-	0xf6, 0xe0, 0xcc, 0x0e, 0xf0, 0x18, 0xea, 0x13, 0x9c, 0x0c, 0x90, 0xc5, 0x59, 0x95, 0x3b, 0xcd,
-	0xee, 0xee, 0xfe, 0xf2, 0x6b, 0xdf, 0x3f, 0x3e, 0x32, 0x95, 0x2a, 0xd9, 0x86, 0x2a, 0x86, 0x81,
-	0x3d, 0xd2, 0x2b, 0xf2, 0x72, 0x12, 0xc1, 0x78, 0x09, 0x8d, 0x93, 0x80, 0x8d, 0x79, 0x48, 0xed,
-	0xe5, 0x37, 0x43, 0xa0, 0xc2, 0xa8, 0x48, 0xd2, 0xd0, 0x4c, 0xf9, 0x3b, 0x76, 0x35, 0x88, 0x18,
-	0x17, 0xf2, 0x52, 0x34, 0x33, 0x11, 0x8c, 0xa7, 0xd0, 0xe8, 0x51, 0xcf, 0x43, 0xf6, 0x2d, 0x4e,
-	0xc9, 0x06, 0x94, 0xb2, 0xf2, 0x96, 0x5c, 0x87, 0xdc, 0x80, 0xc6, 0xb9, 0x8a, 0x93, 0x1e, 0x69,
-	0x06, 0x18, 0x7f, 0x97, 0xa1, 0xfe, 0x0a, 0xd9, 0x99, 0x5b, 0x90, 0xc4, 0x36, 0x54, 0xc7, 0x38,
-	0x45, 0x47, 0x5a, 0x5e, 0x33, 0x13, 0x21, 0x6e, 0xa5, 0x31, 0x4e, 0xad, 0x11, 0x52, 0x07, 0x59,
-	0x5a, 0xa0, 0xc6, 0x18, 0xa7, 0x2f, 0x24, 0x20, 0x6b, 0x37, 0xa2, 0xcc, 0xe1, 0xf2, 0xc4, 0x6d,
-	0x33, 0x95, 0xc8, 0x6d, 0x68, 0xd9, 0x23, 0xb4, 0xc7, 0xdc, 0x3a, 0x45, 0xdf, 0x46, 0xbd, 0x2a,
-	0x7d, 0x36, 0x13, 0xec, 0x9b, 0x18, 0x22, 0x77, 0x61, 0x83, 0x61, 0x88, 0x54, 0xd0, 0x81, 0x87,
-	0xd6, 0x10, 0x85, 0x5e, 0x93, 0x4a, 0xed, 0x19, 0x7a, 0x88, 0x42, 0x56, 0x0a, 0xa9, 0xe3, 0xb9,
-	0x3e, 0x5a, 0x13, 0xae, 0xd7, 0xf7, 0xb4, 0x4e, 0xd9, 0x04, 0x05, 0x1d, 0x71, 0x72, 0x07, 0x36,
-	0x26, 0xf4, 0xc2, 0x1a, 0x04, 0xce, 0xd4, 0x1a, 0x4c, 0x05, 0x72, 0xfd, 0x9a, 0xd4, 0x69, 0x4d,
-	0xe8, 0xc5, 0x41, 0xe0, 0x4c, 0x0f, 0x62, 0x4c, 0x69, 0x8d, 0xd0, 0x73, 0x52, 0xad, 0x46, 0xa6,
-	0xf5, 0x02, 0x3d, 0x27, 0xd3, 0x7a, 0x13, 0x61, 0x84, 0x56, 0x88, 0xcc, 0xe2, 0x5e, 0x20, 0x74,
-	0xd8, 0xd3, 0x3a, 0x55, 0xb3, 0x25, 0xd1, 0x3e, 0xb2, 0x57, 0x5e, 0x20, 0xc8, 0x03, 0x20, 0xae,
-	0x83, 0x93, 0x30, 0x10, 0xe8, 0xdb, 0x53, 0x4b, 0x08, 0x2f, 0xce, 0xac, 0x29, 0xfd, 0x6d, 0xe5,
-	0xbe, 0xbc, 0x16, 0xde, 0x11, 0x8f, 0xcf, 0xe9, 0xb8, 0x3c, 0xa4, 0xc2, 0x1e, 0x59, 0x43, 0x16,
-	0x44, 0xa1, 0xde, 0x92, 0x3e, 0xdb, 0x0a, 0x3d, 0x8c, 0x41, 0x72, 0x1f, 0xae, 0xdb, 0x81, 0xef,
-	0xa3, 0x2d, 0xdc, 0xc0, 0xe7, 0x96, 0xe7, 0x4e, 0x5c, 0xa1, 0xb7, 0xa5, 0xe6, 0x56, 0xee, 0xc3,
-	0x77, 0x31, 0x6e, 0xfc, 0xa5, 0xc1, 0x76, 0x3f, 0x12, 0xb3, 0x81, 0x33, 0x93, 0xe1, 0x26, 0x4f,
-	0xa0, 0x66, 0xcb, 0x79, 0x95, 0xa5, 0x6d, 0x76, 0x6f, 0x16, 0x75, 0x6d, 0x32, 0xd5, 0x66, 0xaa,
-	0x4d, 0x7a, 0x97, 0xe7, 0xa1, 0xd9, 0x35, 0x8a, 0x8c, 0x73, 0x71, 0x73, 0x33, 0x63, 0xfc, 0x02,
-	0x1b, 0xfd, 0x48, 0xc4, 0x33, 0x77, 0xd5, 0x74, 0x1e, 0x41, 0xc5, 0x46, 0xcf, 0x4b, 0xf3, 0xb8,
-	0x51, 0x68, 0x15, 0x87, 0x92, 0x9a, 0xc6, 0x9f, 0x1a, 0xbc, 0xd7, 0x8f, 0x44, 0x36, 0x67, 0x57,
-	0xcd, 0xe0, 0xab, 0xc5, 0x59, 0x6a, 0x76, 0x6f, 0x17, 0x99, 0xce, 0x82, 0xe6, 0xc6, 0xcd, 0x81,
-	0x9d, 0xe7, 0xe8, 0xa1, 0xc0, 0x77, 0x96, 0x92, 0x1a, 0xda, 0xd2, 0x6c, 0x68, 0x8d, 0x5f, 0x61,
-	0xa7, 0xc7, 0x90, 0x0a, 0xcc, 0x58, 0xe1, 0xaa, 0x51, 0x12, 0x52, 0x29, 0x2d, 0x27, 0x95, 0xf2,
-	0x22, 0xa9, 0xbc, 0x84, 0xf7, 0x17, 0xe2, 0xbf, 0x6d, 0x51, 0x48, 0xca, 0x40, 0x9b, 0xa1, 0x50,
-	0x6b, 0x20, 0x91, 0x8c, 0x01, 0xe8, 0x27, 0xae, 0x18, 0x39, 0x8c, 0x9e, 0xff, 0x5f, 0x87, 0x31,
-	0x7e, 0xd3, 0xe0, 0x7a, 0x3f, 0x12, 0x29, 0x0d, 0x5e, 0xd5, 0xfb, 0x53, 0xa8, 0xf3, 0xc4, 0x53,
-	0xda, 0x21, 0xb7, 0x8a, 0x0c, 0x55, 0x40, 0xa5, 0x6f, 0x0c, 0x60, 0x3b, 0xe9, 0x8e, 0x77, 0x94,
-	0xca, 0xb2, 0xde, 0xf8, 0x10, 0x3e, 0x38, 0x44, 0xd1, 0x0b, 0xfc, 0x53, 0x77, 0x18, 0x31, 0x1a,
-	0xd3, 0x47, 0x1a, 0xc6, 0xf8, 0xa7, 0x04, 0xed, 0xb9, 0x0f, 0x2b, 0xea, 0xf5, 0x35, 0xb4, 0x72,
-	0xd4, 0x10, 0xef, 0xda, 0xf2, 0x9a, 0xdc, 0xd0, 0x9c, 0x71, 0x03, 0x27, 0x5d, 0xa8, 0xc6, 0x83,
-	0xaa, 0xd6, 0xe9, 0xea, 0x99, 0x4e, 0x54, 0xc9, 0x33, 0x80, 0xac, 0xd5, 0xe2, 0x0d, 0x53, 0x5e,
-	0x6f, 0x0a, 0x73, 0x46, 0xe4, 0x00, 0x9a, 0xb6, 0xec, 0x26, 0x6b, 0x8c, 0x53, 0xae, 0x57, 0x57,
-	0xfb, 0x98, 0x35, 0x1e, 0xd8, 0xea, 0x27, 0x27, 0x9f, 0xc3, 0xb5, 0xb4, 0x6e, 0x5c, 0xaf, 0x49,
-	0x07, 0x6f, 0x2d, 0x74, 0x66, 0x60, 0x10, 0xd8, 0x3a, 0x44, 0xf1, 0x4a, 0x3e, 0x69, 0xd4, 0xf5,
-	0x33, 0xa8, 0x25, 0x40, 0xdc, 0xa0, 0x67, 0x13, 0xb5, 0xc2, 0xcf, 0x26, 0xf9, 0x32, 0x94, 0xe6,
-	0xcb, 0xf0, 0x25, 0xd4, 0x05, 0x65, 0x43, 0x14, 0xea, 0x06, 0xef, 0x14, 0xe5, 0xf0, 0x5a, 0xaa,
-	0xa5, 0x11, 0x95, 0x91, 0xf1, 0x87, 0x06, 0xad, 0xfc, 0x97, 0x4b, 0xaf, 0x07, 0x7d, 0xbe, 0x9b,
-	0x1b, 0x59, 0xb3, 0xc6, 0x5f, 0xd4, 0x43, 0x2b, 0x21, 0x00, 0x25, 0x92, 0x9b, 0x00, 0x6a, 0x8b,
-	0x21, 0x93, 0x4f, 0x80, 0xf8, 0x15, 0x95, 0x21, 0xb9, 0xe7, 0x41, 0x35, 0xff, 0x3c, 0xe8, 0xfe,
-	0x5b, 0x87, 0xc6, 0xf7, 0x2a, 0x61, 0x62, 0x43, 0x7b, 0x6e, 0x99, 0x91, 0x07, 0x45, 0x47, 0x5b,
-	0xb6, 0xf3, 0x76, 0xef, 0xac, 0x9e, 0x91, 0x94, 0x90, 0x4e, 0xa0, 0x9e, 0x2e, 0x27, 0xf2, 0xc9,
-	0x0a, 0xf7, 0xb9, 0xed, 0xb5, 0xa6, 0x63, 0x0a, 0xad, 0xfc, 0xe2, 0x21, 0xf7, 0x57, 0x78, 0x5f,
-	0xdc, 0x05, 0x6b, 0x86, 0x18, 0xc2, 0xe6, 0xc2, 0x2e, 0x21, 0xfb, 0x85, 0xf3, 0xb7, 0x74, 0xe9,
-	0xac, 0x19, 0x28, 0x84, 0xcd, 0x05, 0x3a, 0x2f, 0x0e, 0xb4, 0x7c, 0xef, 0xec, 0x7e, 0xba, 0xa6,
-	0x7e, 0x1a, 0x71, 0x0c, 0xd7, 0x2f, 0xb1, 0x3e, 0x79, 0x54, 0x38, 0xe3, 0x05, 0x0b, 0x62, 0xcd,
-	0xe3, 0xfd, 0x04, 0x30, 0x63, 0x7f, 0x72, 0x6f, 0x45, 0xa1, 0xe6, 0x69, 0x79, 0x4d, 0xf7, 0x36,
-	0xb4, 0xe7, 0x48, 0xbd, 0xb8, 0x8f, 0x97, 0x71, 0xff, 0x9a, 0x41, 0x7e, 0x96, 0x7c, 0x32, 0x4f,
-	0xde, 0x0f, 0x8b, 0x2c, 0x0b, 0xf8, 0x7f, 0xf7, 0x6e, 0x61, 0xa8, 0x39, 0xbf, 0x3f, 0x40, 0x23,
-	0xe3, 0x2e, 0xd2, 0x59, 0x11, 0x64, 0x8e, 0xde, 0x76, 0x0b, 0x97, 0x56, 0xa2, 0x76, 0xf0, 0xe4,
-	0xc7, 0xc7, 0x43, 0x57, 0x8c, 0xa2, 0x41, 0xac, 0xf7, 0x30, 0xaf, 0x3b, 0x2f, 0xd0, 0xd0, 0x7d,
-	0x98, 0x19, 0x87, 0x83, 0x41, 0x4d, 0xfe, 0xff, 0xfd, 0xec, 0xbf, 0x00, 0x00, 0x00, 0xff, 0xff,
-	0x2a, 0xcd, 0x1e, 0xe4, 0x12, 0x0f, 0x00, 0x00,
+	// 2412 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xbc, 0x5a, 0x5b, 0x6f, 0x1b, 0xc7,
+	0xf5, 0xc7, 0x8a, 0xe2, 0xed, 0x2c, 0x29, 0xc9, 0x13, 0xfd, 0xf5, 0xdf, 0x2a, 0x71, 0x6c, 0xaf,
+	0x9d, 0x54, 0xb9, 0x54, 0x0e, 0x94, 0xd8, 0x45, 0xd0, 0x1b, 0x6c, 0xd9, 0xb5, 0x8d, 0xda, 0xa8,
+	0xb0, 0x8a, 0x6d, 0x34, 0x40, 0xb1, 0x1d, 0xee, 0x1e, 0x91, 0x1b, 0x2d, 0x77, 0xe9, 0xd9, 0x21,
+	0x25, 0xf6, 0xa9, 0x7d, 0x69, 0x1f, 0x0a, 0xf4, 0xa5, 0x1f, 0xa0, 0x2d, 0xfa, 0xd8, 0xa7, 0xf6,
+	0x3b, 0xb4, 0x40, 0xbf, 0x49, 0x3e, 0x45, 0x51, 0xcc, 0x65, 0x6f, 0x24, 0x97, 0x62, 0x2c, 0xb7,
+	0x6f, 0x3c, 0x67, 0xcf, 0x9c, 0x39, 0x33, 0xe7, 0x3a, 0x3f, 0x09, 0x36, 0xe3, 0x11, 0x32, 0xca,
+	0x63, 0x96, 0xec, 0x8f, 0x58, 0xcc, 0x63, 0xb2, 0xe3, 0xc5, 0xc3, 0x13, 0x86, 0xd3, 0x28, 0xe6,
+	0xde, 0x60, 0x3f, 0xfb, 0x6a, 0x3b, 0xd0, 0x38, 0x1c, 0xd0, 0xa8, 0x8f, 0xe4, 0x2a, 0x00, 0xc3,
+	0x57, 0x63, 0x4c, 0xb8, 0x1b, 0xf8, 0x96, 0x71, 0xdd, 0xd8, 0x6b, 0x3b, 0x6d, 0xcd, 0x79, 0xe2,
+	0x93, 0x0f, 0x60, 0x0b, 0xcf, 0x47, 0xe8, 0x71, 0xf4, 0xdd, 0x09, 0xb2, 0x24, 0x88, 0x23, 0x6b,
+	0xed, 0xba, 0xb1, 0xb7, 0xee, 0x6c, 0xa6, 0xfc, 0x17, 0x8a, 0x6d, 0xef, 0x41, 0x47, 0xe9, 0xbc,
+	0x17, 0x25, 0x67, 0xc8, 0x88, 0x05, 0xcd, 0x74, 0x85, 0x21, 0x57, 0xa4, 0xa4, 0x7d, 0x04, 0xf0,
+	0x80, 0x72, 0x7a, 0x88, 0x11, 0x67, 0x48, 0x08, 0xac, 0x47, 0x74, 0x88, 0x7a, 0x6f, 0xf9, 0x9b,
+	0xec, 0x40, 0x83, 0x61, 0x3f, 0xdd, 0xac, 0xed, 0x68, 0x4a, 0xf0, 0x13, 0x4e, 0xf9, 0x38, 0xb1,
+	0x6a, 0x8a, 0xaf, 0x28, 0xfb, 0x07, 0xb0, 0xf6, 0xe2, 0xd9, 0x42, 0x4d, 0x37, 0xa1, 0x1b, 0x44,
+	0x11, 0x32, 0x97, 0xfa, 0x3e, 0xc3, 0x24, 0xd1, 0x0a, 0x3b, 0x92, 0x79, 0x4f, 0xf1, 0xec, 0xdf,
+	0x1a, 0xb0, 0x7e, 0x88, 0x61, 0xb8, 0x50, 0xc3, 0x35, 0x30, 0x7d, 0xca, 0xa9, 0xeb, 0x49, 0x73,
+	0xf5, 0x7a, 0xf0, 0xf3, 0x03, 0x7c, 0x06, 0xcd, 0x21, 0x0e, 0x7b, 0xc8, 0x84, 0x55, 0xb5, 0x3d,
+	0xf3, 0x60, 0x77, 0x7f, 0xf1, 0xb5, 0xef, 0xbf, 0x78, 0xe6, 0xa4, 0xa2, 0x64, 0x1b, 0xea, 0x38,
+	0x8a, 0xbd, 0x81, 0xb5, 0x2e, 0x2f, 0x47, 0x11, 0xf6, 0x13, 0x68, 0xbf, 0x8c, 0xd9, 0x69, 0x32,
+	0xa2, 0xde, 0xe2, 0x9b, 0x21, 0xb0, 0xce, 0x28, 0x57, 0x66, 0x18, 0x8e, 0xfc, 0x2d, 0x54, 0xf5,
+	0xc6, 0x2c, 0xe1, 0xf2, 0x52, 0x0c, 0x47, 0x11, 0xf6, 0xe7, 0xd0, 0x3e, 0xa4, 0x61, 0x88, 0xec,
+	0x27, 0x38, 0x25, 0x1b, 0xb0, 0x96, 0xb9, 0x77, 0x2d, 0xf0, 0xc9, 0x3b, 0xd0, 0x3e, 0x4b, 0xf7,
+	0xd1, 0x47, 0xca, 0x19, 0xf6, 0xbf, 0x6a, 0xd0, 0x3c, 0x46, 0x36, 0x09, 0x2a, 0x8c, 0xd8, 0x86,
+	0xfa, 0x29, 0x4e, 0xd1, 0x97, 0x2b, 0x5b, 0x8e, 0x22, 0x44, 0x28, 0x9d, 0xe2, 0xd4, 0x1d, 0x20,
+	0xf5, 0x91, 0x69, 0x07, 0xb5, 0x4f, 0x71, 0xfa, 0x58, 0x32, 0xa4, 0xef, 0x06, 0x94, 0xf9, 0x89,
+	0x3c, 0x71, 0xd7, 0xd1, 0x14, 0xb9, 0x01, 0x1d, 0x6f, 0x80, 0xde, 0x69, 0xe2, 0x9e, 0x60, 0xe4,
+	0xa1, 0x55, 0x97, 0x3a, 0x4d, 0xc5, 0xfb, 0xb1, 0x60, 0x91, 0xf7, 0x60, 0x83, 0xe1, 0x08, 0x29,
+	0xa7, 0xbd, 0x10, 0xdd, 0x3e, 0x72, 0xab, 0x21, 0x85, 0xba, 0x39, 0xf7, 0x11, 0x72, 0xe9, 0x29,
+	0xa4, 0x7e, 0x18, 0x44, 0xe8, 0x0e, 0x13, 0xab, 0x79, 0xdd, 0xd8, 0xab, 0x39, 0x90, 0xb2, 0x9e,
+	0x25, 0xe4, 0x16, 0x6c, 0x0c, 0xe9, 0xb9, 0xdb, 0x8b, 0xfd, 0xa9, 0xdb, 0x9b, 0x72, 0x4c, 0xac,
+	0x96, 0x94, 0xe9, 0x0c, 0xe9, 0xf9, 0xfd, 0xd8, 0x9f, 0xde, 0x17, 0xbc, 0x54, 0x6a, 0x80, 0xa1,
+	0xaf, 0xa5, 0xda, 0x99, 0xd4, 0x63, 0x0c, 0xfd, 0x4c, 0xea, 0xd5, 0x18, 0xc7, 0xe8, 0x8e, 0x90,
+	0xb9, 0x49, 0x18, 0x73, 0x0b, 0xae, 0x1b, 0x7b, 0x75, 0xa7, 0x23, 0xb9, 0x47, 0xc8, 0x8e, 0xc3,
+	0x98, 0x93, 0x8f, 0x81, 0x04, 0x3e, 0x0e, 0x47, 0x31, 0xc7, 0xc8, 0x9b, 0xba, 0x9c, 0x87, 0xc2,
+	0x32, 0x53, 0xea, 0xdb, 0x2a, 0x7c, 0xf9, 0x82, 0x87, 0xcf, 0x12, 0x71, 0x4e, 0x3f, 0x48, 0x46,
+	0x94, 0x7b, 0x03, 0xb7, 0xcf, 0xe2, 0xf1, 0xc8, 0xea, 0x48, 0x9d, 0xdd, 0x94, 0xfb, 0x48, 0x30,
+	0xc9, 0x47, 0x70, 0xc5, 0x8b, 0xa3, 0x08, 0x3d, 0x1e, 0xc4, 0x51, 0xe2, 0x86, 0xc1, 0x30, 0xe0,
+	0x56, 0x57, 0x4a, 0x6e, 0x15, 0x3e, 0x3c, 0x15, 0x7c, 0xfb, 0x0f, 0x06, 0x6c, 0x1f, 0x8d, 0x79,
+	0x9e, 0x70, 0x8e, 0x4a, 0x6e, 0x72, 0x17, 0x1a, 0x9e, 0xcc, 0x57, 0xe9, 0x5a, 0xf3, 0xe0, 0xdd,
+	0xaa, 0xa8, 0x55, 0x59, 0xed, 0x68, 0x69, 0x72, 0x38, 0x9f, 0x0f, 0xe6, 0x81, 0x5d, 0xb5, 0xb8,
+	0xb0, 0x6f, 0x21, 0x67, 0xec, 0x5f, 0x19, 0xb0, 0x7b, 0x8c, 0x05, 0xab, 0x8e, 0x65, 0x22, 0x5f,
+	0xd6, 0xb6, 0x34, 0x58, 0xd7, 0xca, 0xb5, 0x64, 0x61, 0xcd, 0xf8, 0x25, 0x6c, 0x1c, 0x8d, 0xb9,
+	0x48, 0xfb, 0xcb, 0xee, 0xfa, 0x09, 0xac, 0x7b, 0x18, 0x86, 0xfa, 0x2a, 0xde, 0xa9, 0x5c, 0x25,
+	0xb6, 0x92, 0x92, 0xf6, 0xef, 0x0d, 0x78, 0xeb, 0x68, 0xcc, 0xb3, 0x54, 0xbf, 0xac, 0x05, 0x3f,
+	0x9a, 0x4d, 0x67, 0xf3, 0xe0, 0x46, 0xd5, 0xd2, 0x7c, 0xd3, 0x42, 0xc6, 0xfb, 0xb0, 0xf3, 0x00,
+	0x43, 0xe4, 0xf8, 0xc6, 0x4c, 0x5a, 0xe0, 0x0a, 0xfb, 0x2f, 0x06, 0xec, 0x1c, 0x32, 0xa4, 0x1c,
+	0xb3, 0xca, 0x74, 0xd9, 0x6d, 0x54, 0x61, 0x5b, 0x5b, 0x5c, 0xd8, 0x6a, 0x33, 0x85, 0x4d, 0x74,
+	0x83, 0x04, 0x3d, 0x86, 0xdc, 0x4d, 0x06, 0xf4, 0xe0, 0xce, 0x5d, 0x59, 0x8a, 0x3a, 0x4e, 0x47,
+	0x31, 0x8f, 0x25, 0xcf, 0xbe, 0x03, 0xff, 0xf7, 0x34, 0x48, 0x78, 0x66, 0x62, 0x16, 0x95, 0x25,
+	0xdd, 0xc6, 0x6c, 0xd1, 0xfc, 0x0a, 0x20, 0x5f, 0x52, 0xdd, 0xfd, 0xc8, 0x7d, 0x30, 0x3d, 0x29,
+	0xe7, 0x9e, 0xe2, 0x54, 0xf4, 0xa3, 0xda, 0x32, 0x6f, 0xe5, 0x17, 0x05, 0x5e, 0xa6, 0xdd, 0xee,
+	0x81, 0xf5, 0x32, 0xe0, 0x03, 0x9f, 0xd1, 0xb3, 0xff, 0xd6, 0x4d, 0xda, 0xbf, 0x31, 0xe0, 0xca,
+	0xd1, 0x98, 0xeb, 0x3e, 0x70, 0x59, 0xed, 0x9f, 0x43, 0x33, 0x51, 0x9a, 0x74, 0x7c, 0x5e, 0xab,
+	0x5a, 0x98, 0x6e, 0x98, 0xca, 0xdb, 0x3d, 0xd8, 0x56, 0xb1, 0xf9, 0x86, 0x4c, 0x59, 0x14, 0x99,
+	0x63, 0xd8, 0xbc, 0xe7, 0xfb, 0x2f, 0x62, 0x8e, 0xec, 0xb2, 0xea, 0x3f, 0x84, 0xb5, 0xc9, 0x50,
+	0x1f, 0x72, 0xd9, 0x24, 0xb0, 0x36, 0x19, 0xda, 0xbf, 0x33, 0xe0, 0x2d, 0x07, 0x47, 0x21, 0xf5,
+	0xf0, 0x8d, 0xec, 0xbd, 0x05, 0xb5, 0x38, 0x4c, 0x9d, 0x28, 0x7e, 0x6a, 0x6b, 0x6a, 0x2b, 0x59,
+	0xf3, 0x0b, 0x20, 0x0e, 0x0e, 0xe3, 0xc9, 0x9b, 0xb1, 0x65, 0xd1, 0x35, 0xef, 0x03, 0x11, 0xa9,
+	0xf5, 0x05, 0x65, 0x7d, 0xe4, 0x59, 0x5e, 0x59, 0x79, 0x6c, 0xa8, 0xac, 0xca, 0x5c, 0x7f, 0x06,
+	0x4d, 0x2d, 0xbb, 0x24, 0xa1, 0x48, 0xa1, 0xfc, 0xb6, 0x55, 0x81, 0x25, 0x3f, 0x84, 0x26, 0x57,
+	0x0b, 0xf5, 0x4c, 0x76, 0xab, 0xca, 0x6a, 0xa5, 0x5f, 0xb7, 0x9f, 0x74, 0x91, 0xfd, 0x6f, 0x03,
+	0x3a, 0xc5, 0x2f, 0x73, 0x03, 0x94, 0x55, 0x8e, 0xe7, 0xdc, 0x66, 0xf1, 0x25, 0x9d, 0x35, 0x55,
+	0xfd, 0x49, 0x49, 0xf2, 0x2e, 0x40, 0xda, 0xc8, 0x91, 0xc9, 0xd2, 0x23, 0x06, 0xc9, 0x8c, 0x53,
+	0x98, 0x90, 0xea, 0xa5, 0x09, 0xc9, 0x82, 0x66, 0x88, 0x74, 0x12, 0x44, 0x7d, 0x3d, 0xf7, 0xa4,
+	0x24, 0xb9, 0x0e, 0x66, 0x10, 0x79, 0x94, 0x45, 0x54, 0x74, 0x7c, 0x39, 0xf1, 0xac, 0x3b, 0x45,
+	0x96, 0x18, 0xd5, 0xc4, 0x70, 0xa2, 0x26, 0x9d, 0xba, 0xa3, 0x08, 0xb1, 0xae, 0x30, 0x28, 0xc8,
+	0xf9, 0xa6, 0xee, 0x14, 0x59, 0xf6, 0x39, 0x90, 0x07, 0x8c, 0x06, 0x91, 0xba, 0x84, 0xcb, 0xc6,
+	0xc2, 0x0e, 0x34, 0xd4, 0xcd, 0xa6, 0xf3, 0xbc, 0xa2, 0x84, 0xeb, 0xc6, 0x91, 0x1f, 0xcb, 0x8b,
+	0x6a, 0x39, 0xf2, 0x77, 0x1a, 0x23, 0x8f, 0x63, 0x5e, 0xac, 0xbd, 0xd5, 0x31, 0xf2, 0x12, 0x9a,
+	0x5a, 0x76, 0x49, 0x8c, 0x1c, 0xc0, 0x7a, 0xa1, 0xda, 0x56, 0x9a, 0xad, 0x14, 0x39, 0x52, 0xd6,
+	0x3e, 0x87, 0x86, 0xa2, 0xab, 0x37, 0x17, 0x09, 0x77, 0x8a, 0xd3, 0x34, 0xe1, 0x4e, 0x71, 0x9a,
+	0x0d, 0xe8, 0xb5, 0xc2, 0x80, 0x9e, 0x1f, 0x7f, 0xbd, 0x74, 0xfc, 0x1d, 0x68, 0x8c, 0xc4, 0x43,
+	0xc4, 0xd7, 0x43, 0xaf, 0xa6, 0xec, 0x3f, 0x1a, 0xd0, 0x3d, 0x0a, 0xa2, 0x37, 0x50, 0xd4, 0xab,
+	0xc3, 0x54, 0x5b, 0x5e, 0xcb, 0x2d, 0xaf, 0xb2, 0x32, 0x75, 0x52, 0xbd, 0xe0, 0xa4, 0x3f, 0x1b,
+	0xd0, 0xbd, 0x97, 0x24, 0x41, 0x3f, 0xfa, 0x5f, 0x5a, 0x28, 0x82, 0x59, 0xa4, 0x84, 0x7e, 0x41,
+	0x28, 0xa2, 0x60, 0x77, 0xbd, 0x68, 0xb7, 0x7d, 0x00, 0x3b, 0x22, 0x90, 0x94, 0x99, 0x43, 0x8c,
+	0x56, 0x29, 0x38, 0xbf, 0x36, 0xc0, 0x2c, 0x2c, 0xf8, 0x86, 0x55, 0xe7, 0x01, 0x98, 0x34, 0x5f,
+	0xac, 0x2b, 0x4f, 0xe5, 0x68, 0x9c, 0xef, 0xe3, 0x14, 0x97, 0xd9, 0x7f, 0x33, 0x00, 0xf2, 0x6f,
+	0x4b, 0x82, 0xef, 0x1a, 0x98, 0x27, 0x01, 0x4b, 0xe4, 0x30, 0xc3, 0x54, 0xd5, 0xef, 0x3a, 0x20,
+	0x59, 0xc7, 0xf2, 0x66, 0xae, 0x02, 0x84, 0x34, 0xfb, 0x5e, 0x93, 0xdf, 0xdb, 0x82, 0x73, 0x3c,
+	0x73, 0x71, 0x65, 0x87, 0x6f, 0x43, 0x3d, 0x7f, 0x8a, 0xb5, 0x1d, 0x45, 0x90, 0xb7, 0xa1, 0x3d,
+	0x88, 0x87, 0xe8, 0xca, 0x53, 0x37, 0xe4, 0x97, 0x96, 0x60, 0x88, 0xb1, 0xd6, 0xfe, 0x16, 0xfc,
+	0xff, 0x23, 0xe4, 0x87, 0x71, 0x74, 0x12, 0xf4, 0xc7, 0x4c, 0x96, 0x1e, 0x7d, 0xd9, 0xf6, 0xd7,
+	0x6b, 0xd0, 0x2d, 0x7d, 0x58, 0x72, 0xa9, 0x0f, 0xa1, 0x53, 0x78, 0x5b, 0xa4, 0xe9, 0xba, 0xca,
+	0xe3, 0xc2, 0xcc, 0x1f, 0x17, 0x09, 0x39, 0x80, 0xba, 0xb0, 0x32, 0xf5, 0xc0, 0xf2, 0x89, 0x5c,
+	0x89, 0x92, 0x7b, 0x00, 0xd9, 0x2c, 0x27, 0x9e, 0xa8, 0xb5, 0xd5, 0x66, 0xe8, 0xc2, 0xa2, 0xd9,
+	0xc9, 0xae, 0xfe, 0x1a, 0x93, 0x1d, 0xf9, 0x1e, 0xb4, 0xb4, 0x7b, 0x13, 0xab, 0x21, 0x15, 0x5c,
+	0x38, 0x28, 0x65, 0x0b, 0x6c, 0x02, 0x5b, 0x8f, 0xb2, 0x5e, 0xa6, 0xaf, 0xff, 0x9f, 0x35, 0x68,
+	0xe4, 0x3d, 0x6c, 0x32, 0x4c, 0x7b, 0xd8, 0x64, 0x58, 0xf4, 0xc3, 0x5a, 0xd9, 0x0f, 0x97, 0x6c,
+	0x9f, 0xb3, 0x98, 0xc9, 0xfa, 0x1c, 0x66, 0x92, 0x66, 0x4f, 0xbd, 0x90, 0x3d, 0xf7, 0xa1, 0xc5,
+	0xb0, 0x1f, 0x24, 0x9c, 0x4d, 0x65, 0x7c, 0x99, 0x07, 0xef, 0x57, 0xed, 0xea, 0x68, 0x39, 0xbd,
+	0x6f, 0xb6, 0x4e, 0x35, 0xb6, 0x98, 0xf9, 0x41, 0x24, 0x04, 0x65, 0x43, 0x6c, 0x3b, 0x45, 0x96,
+	0xcc, 0x09, 0xa4, 0x09, 0xba, 0x61, 0x30, 0x41, 0xd9, 0x15, 0x5b, 0x4e, 0x5b, 0x72, 0x9e, 0x06,
+	0x13, 0x14, 0xf7, 0x3f, 0x62, 0x71, 0x2f, 0xc4, 0xa1, 0x68, 0x8b, 0x4b, 0xef, 0xff, 0x48, 0xc9,
+	0x39, 0xd9, 0x82, 0xb9, 0xf0, 0x85, 0xd7, 0x0b, 0xdf, 0x6d, 0xa8, 0x33, 0xa4, 0xfe, 0x54, 0xe2,
+	0x04, 0x2d, 0x47, 0x11, 0xf6, 0x19, 0x6c, 0x94, 0x8f, 0x2d, 0xf2, 0x37, 0x54, 0x60, 0x8b, 0xf2,
+	0xa9, 0xa6, 0xc4, 0xe5, 0x72, 0x64, 0x43, 0xed, 0x54, 0xf9, 0x5b, 0xc8, 0x4e, 0xc4, 0x54, 0xa7,
+	0x1c, 0xda, 0x76, 0x34, 0x25, 0xd1, 0x97, 0x78, 0x38, 0x0c, 0xb8, 0x1b, 0x44, 0x3e, 0x9e, 0x6b,
+	0x34, 0xca, 0x54, 0xbc, 0x27, 0x82, 0x65, 0x3f, 0x82, 0xa6, 0x3e, 0xaa, 0xd0, 0x7c, 0x36, 0xa0,
+	0x3c, 0x05, 0x83, 0xc4, 0x6f, 0x61, 0xad, 0x1f, 0x8b, 0xd9, 0x44, 0x55, 0x42, 0x45, 0x48, 0x07,
+	0xc7, 0x3e, 0xea, 0xa2, 0x23, 0x7f, 0xdb, 0xdf, 0x87, 0x8d, 0x87, 0xe7, 0xa3, 0x90, 0x06, 0xd1,
+	0x85, 0x85, 0x78, 0xbe, 0xb1, 0xda, 0x7f, 0xaf, 0x81, 0x29, 0x97, 0x47, 0x17, 0x55, 0x91, 0xcb,
+	0xb7, 0x94, 0x52, 0xad, 0xab, 0x97, 0x6b, 0xdd, 0x6c, 0x70, 0x37, 0xe6, 0x82, 0x3b, 0xaf, 0xab,
+	0xcd, 0xc5, 0x75, 0xb5, 0x55, 0xac, 0xab, 0xe5, 0xa9, 0xb0, 0x3d, 0x37, 0x15, 0xde, 0x80, 0x4e,
+	0x12, 0x44, 0x1e, 0xba, 0xc3, 0xc0, 0x63, 0x71, 0x22, 0x61, 0xa6, 0x9a, 0x63, 0x4a, 0xde, 0x33,
+	0xc9, 0x12, 0x07, 0x66, 0x48, 0x13, 0x31, 0xca, 0x99, 0xd2, 0xbb, 0x29, 0x49, 0xbe, 0x0b, 0xcd,
+	0x41, 0x90, 0xf0, 0x98, 0x4d, 0xad, 0x8e, 0x0c, 0xc6, 0xab, 0x55, 0xc1, 0xf8, 0x70, 0x22, 0x1a,
+	0x51, 0x2a, 0x4d, 0x1e, 0x82, 0x39, 0x8e, 0x18, 0x52, 0x6f, 0x40, 0x7b, 0x21, 0x5a, 0x5d, 0xb9,
+	0xf8, 0x66, 0xd5, 0xe2, 0xe7, 0xb9, 0xa8, 0x53, 0x5c, 0x67, 0x7f, 0x6d, 0xc8, 0x92, 0x24, 0x95,
+	0x67, 0xed, 0x57, 0xf4, 0x2d, 0x16, 0x0f, 0xd3, 0x03, 0x19, 0x0a, 0xa7, 0x13, 0x2c, 0x7d, 0x9e,
+	0xb7, 0xa1, 0xcd, 0xe3, 0xf4, 0xf3, 0x9a, 0xfc, 0xdc, 0xe2, 0xb1, 0xfe, 0x98, 0xdf, 0x6e, 0xad,
+	0x74, 0xbb, 0x17, 0xd6, 0x9c, 0x42, 0x58, 0xd4, 0x17, 0x86, 0x45, 0xa3, 0x14, 0x16, 0x0a, 0x56,
+	0x6b, 0xaa, 0xb1, 0x59, 0x12, 0xc2, 0xae, 0x38, 0x0a, 0xa7, 0xee, 0x00, 0x59, 0x5a, 0x3a, 0x5a,
+	0x82, 0xf1, 0x18, 0x19, 0xda, 0x7f, 0x32, 0xa0, 0xa1, 0xce, 0xb9, 0x24, 0x34, 0xef, 0x40, 0x03,
+	0xa5, 0x8c, 0x6e, 0x6d, 0x17, 0xb8, 0x43, 0x0b, 0xcf, 0x7a, 0xa3, 0xf6, 0x9a, 0xde, 0xf8, 0x14,
+	0xcc, 0xc2, 0xb7, 0xb9, 0x7e, 0xb0, 0x0d, 0x75, 0x64, 0x2c, 0x66, 0x69, 0x26, 0x4b, 0xc2, 0xfe,
+	0x6b, 0x0d, 0xea, 0xd2, 0x9a, 0x39, 0xf9, 0x2d, 0xa8, 0x25, 0xf8, 0x4a, 0x97, 0x19, 0xf1, 0x53,
+	0x5c, 0x10, 0xe5, 0xa9, 0xe3, 0x6a, 0xca, 0x71, 0x94, 0xe7, 0x51, 0x1a, 0xc6, 0xfd, 0xc0, 0xa3,
+	0xa1, 0x4e, 0xb6, 0x94, 0x14, 0xc5, 0xe2, 0x34, 0x88, 0xfc, 0xb4, 0x1b, 0x88, 0xdf, 0x17, 0x67,
+	0x59, 0xda, 0x42, 0x9a, 0x85, 0x16, 0x52, 0x70, 0x71, 0xab, 0xec, 0xe2, 0xfc, 0x6d, 0xd5, 0xd6,
+	0x28, 0xa0, 0x7a, 0x5b, 0xe5, 0xd1, 0x04, 0xa5, 0x68, 0x2a, 0x61, 0x3d, 0xe6, 0x2c, 0x8e, 0x54,
+	0x70, 0x70, 0xa7, 0xec, 0xe0, 0x2c, 0xc7, 0xbb, 0xc5, 0x1c, 0x4f, 0xab, 0xe1, 0x46, 0x5e, 0x0d,
+	0x85, 0xa4, 0x17, 0x8f, 0x23, 0x6e, 0x6d, 0xaa, 0x3f, 0x00, 0x48, 0x42, 0xdc, 0x29, 0xc3, 0x13,
+	0x6b, 0x4b, 0x85, 0x22, 0xc3, 0x13, 0x29, 0x47, 0xc7, 0x09, 0x5a, 0x57, 0x94, 0x46, 0x49, 0x08,
+	0xbb, 0x7d, 0xe4, 0x34, 0x08, 0x2d, 0xa2, 0xec, 0x56, 0xd4, 0xc1, 0x3f, 0xae, 0x40, 0xfb, 0xa7,
+	0x69, 0x24, 0x10, 0x0f, 0xba, 0x25, 0xec, 0x97, 0x7c, 0x5c, 0xd9, 0xcc, 0x16, 0x40, 0xc4, 0xbb,
+	0xb7, 0x96, 0xcf, 0xf0, 0xfa, 0x0f, 0x3d, 0x31, 0xbc, 0xb5, 0x00, 0xca, 0x25, 0x07, 0xd5, 0x73,
+	0x4b, 0x15, 0xee, 0xbb, 0xe2, 0x86, 0x2f, 0xa1, 0xa9, 0x91, 0x5b, 0xf2, 0xfe, 0x92, 0xf3, 0x14,
+	0xa0, 0xdd, 0x15, 0x15, 0x53, 0xe8, 0x14, 0x51, 0x59, 0xf2, 0xd1, 0x12, 0xed, 0xb3, 0x40, 0xe9,
+	0x8a, 0x5b, 0xf4, 0x61, 0x73, 0x06, 0x68, 0x25, 0xfb, 0x95, 0xf3, 0xc1, 0x42, 0x44, 0x76, 0xf5,
+	0x8d, 0x66, 0xa0, 0xd6, 0xea, 0x8d, 0x16, 0x63, 0xb2, 0x2b, 0x6e, 0xe4, 0xc1, 0x46, 0x19, 0x2e,
+	0x25, 0xdf, 0xa9, 0x5a, 0xb7, 0x10, 0x56, 0xdd, 0xb5, 0x2f, 0x9c, 0x90, 0x13, 0x72, 0x0a, 0x57,
+	0xe6, 0x00, 0x4f, 0xf2, 0x49, 0xe5, 0x78, 0x5e, 0x81, 0x8d, 0xae, 0x78, 0xa2, 0x9f, 0x03, 0xe4,
+	0xc0, 0x27, 0xf9, 0x60, 0x49, 0x10, 0x94, 0x11, 0xc9, 0x95, 0x2f, 0xac, 0x5b, 0xc2, 0x33, 0xab,
+	0x93, 0x72, 0x11, 0xec, 0xb9, 0xe2, 0x26, 0x3f, 0x83, 0x56, 0x0a, 0x68, 0x92, 0x6f, 0x57, 0xbe,
+	0x40, 0xcb, 0x90, 0xe7, 0xea, 0x59, 0x52, 0xc4, 0x2c, 0xab, 0xb3, 0x64, 0x01, 0xb2, 0xb9, 0xe2,
+	0x16, 0x2e, 0x98, 0x05, 0x24, 0x92, 0x7c, 0x58, 0xbd, 0xc3, 0x2c, 0x5c, 0xb9, 0xe2, 0x06, 0x5f,
+	0x82, 0x59, 0x00, 0x22, 0xab, 0x37, 0x98, 0x47, 0x2b, 0x77, 0xaf, 0x2d, 0x7f, 0x0a, 0x25, 0xc2,
+	0xf8, 0x02, 0x74, 0x56, 0xad, 0x7b, 0x1e, 0x5f, 0xfb, 0x66, 0xc6, 0xa7, 0xa8, 0xd7, 0x52, 0xe3,
+	0xcb, 0x30, 0x5a, 0xb5, 0xf1, 0xa9, 0xb2, 0xe7, 0xd0, 0x50, 0xc8, 0x13, 0x79, 0xaf, 0x32, 0xee,
+	0x8b, 0xc8, 0xd4, 0x8a, 0x26, 0x3f, 0x87, 0x86, 0x82, 0x34, 0xaa, 0xd5, 0x96, 0xe0, 0xa4, 0x15,
+	0xd5, 0x9e, 0xc0, 0xe6, 0x0c, 0xc4, 0x53, 0x5d, 0xe4, 0x16, 0x63, 0x41, 0xbb, 0x37, 0x2f, 0x86,
+	0x67, 0x12, 0xf2, 0x95, 0x9c, 0x62, 0xcb, 0x28, 0xc6, 0xed, 0xaa, 0x85, 0x15, 0x40, 0xc8, 0x6e,
+	0xe5, 0xc9, 0xcb, 0x7a, 0x9f, 0x43, 0x3b, 0x7b, 0xc4, 0x93, 0xbd, 0x25, 0x9b, 0x94, 0x5b, 0x67,
+	0x25, 0xde, 0xa6, 0x35, 0xbd, 0x80, 0xa6, 0x7e, 0x7c, 0x55, 0x37, 0xcd, 0xf2, 0xeb, 0xac, 0xfa,
+	0x6a, 0x8a, 0xcf, 0x30, 0x65, 0xae, 0x1e, 0x7c, 0x97, 0x99, 0x5b, 0x7a, 0x03, 0x54, 0x9b, 0xab,
+	0xc4, 0xee, 0xdf, 0xfd, 0xf2, 0xb3, 0x7e, 0xc0, 0x07, 0xe3, 0x9e, 0x90, 0xbb, 0x5d, 0x94, 0x2d,
+	0x13, 0x74, 0x14, 0xdc, 0xce, 0x16, 0x8f, 0x7a, 0xbd, 0x86, 0xfc, 0xc7, 0x97, 0x4f, 0xff, 0x13,
+	0x00, 0x00, 0xff, 0xff, 0x98, 0x73, 0xf5, 0xe6, 0x0b, 0x23, 0x00, 0x00,
 }
--- a/bench/cluster/operators.go
+++ b/bench/cluster/operators.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/api/operatorspb"
+	"github.com/comfreynotch/comfreynotch/internal/config"
 )
 
 const (
@@ -95,19 +97,20 @@
 	})
 }
 
-// createKey grants a key under a new name each time, since the secret of a lost
-// answer cannot be had again.
+// createKey grants a key whose secret is made here; a resend carries the same
+// request id and the same secret's hash.
 func (c *Cluster) createKey(ctx context.Context, workspace string) error {
-	attempt := 0
+	secret := rand.Text()
+	hash := config.HashSecret(secret)
+	request := &operatorspb.CreateCallerKeyRequest{
+		Change: &operatorspb.Change{RequestId: rand.Text()},
+		Id:     workspace + "-key", Workspace: workspace, SecretSha256: hash[:],
+	}
 	return c.Retry(ctx, func(ctx context.Context, ops operatorspb.Operators) error {
-		attempt++
-		key, err := ops.CreateCallerKey(ctx, &operatorspb.CreateCallerKeyRequest{
-			Id: fmt.Sprintf("%s-key-%d", workspace, attempt), Workspace: workspace,
-		})
-		if err != nil {
+		if _, err := ops.CreateCallerKey(ctx, request); err != nil {
 			return err
 		}
-		c.Secrets[workspace] = key.GetSecret()
+		c.Secrets[workspace] = secret
 		return nil
 	})
 }
--- a/bench/cluster/vm.go
+++ b/bench/cluster/vm.go
@@ -36,6 +36,7 @@
 		Listen:    settings.Listen{Callers: any, Targets: any, Inner: any, Operators: any, Metrics: any},
 		Advertise: vm.Inner.Address(),
 		Seeds:     seeds,
+		Operators: settings.Operators{Auth: settings.AuthOff},
 		Bootstrap: first,
 	}
 }
--- a/bench/path_test.go
+++ b/bench/path_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/comfreynotch/comfreynotch/api/operatorspb"
 	"github.com/comfreynotch/comfreynotch/bench/faketarget"
+	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/daemon"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 )
@@ -45,14 +46,16 @@
 		Workspace: &operatorspb.Workspace{Name: "lab", Rate: 100, Burst: 100},
 	})
 	is.NoErr(err)
-	key, err := ops.CreateCallerKey(ctx, &operatorspb.CreateCallerKeyRequest{Id: "k1", Workspace: "lab"})
+	const secret = "secret of k1"
+	hash := config.HashSecret(secret)
+	_, err = ops.CreateCallerKey(ctx, &operatorspb.CreateCallerKeyRequest{Id: "k1", Workspace: "lab", SecretSha256: hash[:]})
 	is.NoErr(err)
 	_, err = ops.PutService(ctx, &operatorspb.PutServiceRequest{
 		Service: &operatorspb.Service{Name: "archivio", Keyed: true, Shards: 16},
 	})
 	is.NoErr(err)
 
-	body := callUntilServed(t, ctx, "http://"+d.CallersAddress()+"/archivio/batch-7/pages?n=1", key.GetSecret())
+	body := callUntilServed(t, ctx, "http://"+d.CallersAddress()+"/archivio/batch-7/pages?n=1", secret)
 	is.Equal(body["target"], "t1")
 	is.Equal(body["workspace"], "lab")
 	is.Equal(body["key"], "batch-7")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
+	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/registry"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
@@ -39,6 +40,7 @@
 	cell       *cell.Task
 	dispatch   *dispatch.Task
 	quota      *quota.Task
+	policy     operators.Policy
 	pipeline   *serve.Server
 }
 
@@ -53,8 +55,13 @@
 		bound.close()
 		return nil, fmt.Errorf("first configuration: %w", err)
 	}
+	policy, err := operatorsPolicy(s.Operators)
+	if err != nil {
+		bound.close()
+		return nil, err
+	}
 	self := core.VM(s.VM)
-	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s)}
+	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s), policy: policy}
 	d.dispatch = dispatch.NewTask(self)
 	d.quota = quota.NewTask()
 	d.cell = cell.NewTask(self, core.Cell(s.Cell), d.dispatch.TableChanged)
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -9,11 +9,8 @@
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"github.com/comfreynotch/comfreynotch/api/operatorspb"
 	"github.com/comfreynotch/comfreynotch/internal/announce"
-	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/gateway"
-	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
 
@@ -25,12 +22,11 @@
 
 // servers returns one supervised task for each listener.
 func (d *Daemon) servers() []task.Service {
-	ops := operators.NewServer(core.VM(d.settings.VM), d.registry, d.cell)
 	return []task.Service{
 		httpTask("callers", d.listeners.callers, gateway.New(d.registry.State(), d.pipeline)),
 		httpTask("targets", d.listeners.targets, announce.Handler(d.membership)),
 		httpTask("inner", d.listeners.inner, d.innerHandler()),
-		httpTask("operators", d.listeners.operators, operatorspb.NewOperatorsServer(ops)),
+		httpTask("operators", d.listeners.operators, d.operatorsHandler()),
 		httpTask("metrics", d.listeners.metrics, promhttp.Handler()),
 	}
 }
--- /dev/null
+++ b/internal/operators/cells.go
@@ -0,0 +1,169 @@
+package operators
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"github.com/comfreynotch/comfreynotch/api/operatorspb"
+	"github.com/comfreynotch/comfreynotch/internal/cell"
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/result"
+	"github.com/comfreynotch/comfreynotch/internal/routing"
+)
+
+// ListTargets returns the targets of this daemon's cell.
+func (s *Server) ListTargets(_ context.Context, r *operatorspb.ListTargetsRequest) (*operatorspb.Targets, error) {
+	table := s.parts.Cell.Table()
+	return &operatorspb.Targets{
+		Version: s.version(), Cell: string(table.Cell), Targets: targetsToWire(table, core.Service(r.GetService())),
+	}, nil
+}
+
+// targetsToWire returns the targets of a service, or of all if it is empty.
+func targetsToWire(table *cell.Table, service core.Service) []*operatorspb.TargetStatus {
+	owned := map[core.TargetID]uint32{}
+	for _, shards := range table.Shards {
+		for _, a := range shards {
+			owned[a.Target]++
+		}
+	}
+	var targets []*operatorspb.TargetStatus
+	for _, e := range sorted(table.Targets) {
+		if service != "" && e.Target.Service != service {
+			continue
+		}
+		targets = append(targets, &operatorspb.TargetStatus{
+			Id: string(e.Target.ID), Service: string(e.Target.Service), Address: e.Target.Address,
+			Dispatcher: string(e.Dispatcher), Shards: owned[e.Target.ID], Leaving: e.Target.Leaving,
+			Incarnation: uint64(e.Target.Incarnation), Slots: int32(e.Target.Slots), Connections: int32(e.Target.Connections),
+		})
+	}
+	return targets
+}
+
+// DrainTarget stops new work for a target, or lets it have work again.
+func (s *Server) DrainTarget(ctx context.Context, r *operatorspb.DrainTargetRequest) (*operatorspb.ChangeAnswer, error) {
+	if s.parts.Drainer == nil {
+		return nil, unsupported("DrainTarget")
+	}
+	if r.GetTarget() == "" {
+		return nil, toTwirp(invalid("target", "a target's name", `""`))
+	}
+	return s.act(r.GetChange(), func() error {
+		return s.parts.Drainer.Drain(ctx, core.TargetID(r.GetTarget()), r.GetUndo())
+	})
+}
+
+// ListHotKeys returns the hottest keys of a service, hottest first.
+func (s *Server) ListHotKeys(ctx context.Context, r *operatorspb.ListHotKeysRequest) (*operatorspb.HotKeys, error) {
+	if s.parts.HotKeys == nil {
+		return nil, unsupported("ListHotKeys")
+	}
+	svc, err := s.keyedService(r.GetService())
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	keys, err := s.parts.HotKeys.List(ctx, svc.Name)
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	answer := &operatorspb.HotKeys{Version: s.version()}
+	slices.SortStableFunc(keys, func(a, b HotKey) int { return cmp.Compare(b.Rate, a.Rate) })
+	for _, k := range keys {
+		answer.Keys = append(answer.Keys, &operatorspb.HotKey{
+			Service: r.GetService(), Key: k.Key, Rate: k.Rate, Target: string(k.Target), Pinned: k.Pinned,
+		})
+	}
+	return answer, nil
+}
+
+// PinKey gives one key a target of its own, or ends that.
+func (s *Server) PinKey(ctx context.Context, r *operatorspb.PinKeyRequest) (*operatorspb.ChangeAnswer, error) {
+	if s.parts.HotKeys == nil {
+		return nil, unsupported("PinKey")
+	}
+	svc, err := s.keyedService(r.GetService())
+	if err == nil && r.GetKey() == "" {
+		err = invalid("key", "a key", `""`)
+	}
+	if err == nil && r.GetTarget() == "" && !r.GetUndo() {
+		err = invalid("target", "a target's name", `""`)
+	}
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	return s.act(r.GetChange(), func() error {
+		if r.GetUndo() {
+			return s.parts.HotKeys.Unpin(ctx, svc.Name, r.GetKey())
+		}
+		return s.parts.HotKeys.Pin(ctx, svc.Name, r.GetKey(), core.TargetID(r.GetTarget()))
+	})
+}
+
+// Assign gives a shard to a target.
+func (s *Server) Assign(ctx context.Context, r *operatorspb.AssignRequest) (*operatorspb.ChangeAnswer, error) {
+	if s.parts.Assigner == nil {
+		return nil, unsupported("Assign")
+	}
+	svc, err := s.keyedService(r.GetService())
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	shard := core.Shard(r.GetShard())
+	if r.GetKey() != "" {
+		shard = routing.Shard(r.GetKey(), svc.Shards)
+	}
+	if uint32(shard) >= svc.Shards {
+		return nil, toTwirp(checkRange("shard", int64(shard), 0, int64(svc.Shards)-1))
+	}
+	if r.GetTarget() == "" {
+		return nil, toTwirp(invalid("target", "a target's name", `""`))
+	}
+	return s.act(r.GetChange(), func() error {
+		return s.parts.Assigner.Assign(ctx, svc.Name, shard, core.TargetID(r.GetTarget()))
+	})
+}
+
+// ListAssignments returns the owners of a service's shards that this daemon's
+// cell is home to, neighbours of one owner together.
+func (s *Server) ListAssignments(_ context.Context, r *operatorspb.ListAssignmentsRequest) (*operatorspb.Assignments, error) {
+	svc, err := s.keyedService(r.GetService())
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	table := s.parts.Cell.Table()
+	answer := &operatorspb.Assignments{Version: s.version(), Cell: string(table.Cell)}
+	var run *operatorspb.Assignment
+	var newest core.Fence
+	for shard := range core.Shard(svc.Shards) {
+		home, _ := s.parts.Registry.Current().Home(svc.Name, shard)
+		a, _, _ := table.Owner(svc.Name, shard)
+		if run == nil || run.Target != string(a.Target) || run.HomeCell != string(home) {
+			run = &operatorspb.Assignment{
+				Service: string(svc.Name), FirstShard: uint32(shard), Target: string(a.Target), HomeCell: string(home),
+			}
+			newest = core.Fence{}
+			answer.Assignments = append(answer.Assignments, run)
+		}
+		run.LastShard = uint32(shard)
+		if newest.Less(a.Fence) {
+			newest = a.Fence
+			run.Fence = newest.String()
+		}
+	}
+	return answer, nil
+}
+
+// keyedService returns a service that has shards.
+func (s *Server) keyedService(name string) (config.Service, error) {
+	svc, ok := s.parts.Registry.Current().Services[core.Service(name)]
+	if !ok {
+		return config.Service{}, result.New(result.NotFound, "service %q", name)
+	}
+	if !svc.Keyed {
+		return config.Service{}, result.New(result.InvalidChange, "field service: want a keyed service; %s is open", name)
+	}
+	return svc, nil
+}
--- a/internal/operators/read.go
+++ b/internal/operators/read.go
@@ -8,17 +8,14 @@
 
 	"github.com/comfreynotch/comfreynotch/api/operatorspb"
 	"github.com/comfreynotch/comfreynotch/internal/config"
-	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/health"
 )
 
 // GetConfiguration returns the configuration in force at this daemon.
 func (s *Server) GetConfiguration(context.Context, *operatorspb.GetConfigurationRequest) (*operatorspb.Configuration, error) {
-	state := s.registry.Current()
-	c := &operatorspb.Configuration{Version: uint64(state.Version)}
-	for _, dc := range sorted(state.DataCentres) {
-		c.DataCentres = append(c.DataCentres, &operatorspb.DataCentre{
-			Name: string(dc.Name), Region: string(dc.Region), Status: statusNames[dc.Status],
-		})
+	state := s.parts.Registry.Current()
+	c := &operatorspb.Configuration{
+		Version: uint64(state.Version), DataCentres: dataCentresToWire(state), CallerKeys: callerKeysToWire(state, ""),
 	}
 	for _, cell := range sorted(state.Cells) {
 		c.Cells = append(c.Cells, cellToWire(state, cell))
@@ -26,16 +23,18 @@
 	for _, w := range sorted(state.Workspaces) {
 		c.Workspaces = append(c.Workspaces, &operatorspb.Workspace{Name: string(w.Name), Rate: w.Rate, Burst: w.Burst})
 	}
-	for _, k := range state.CallerKeys {
-		c.CallerKeys = append(c.CallerKeys, &operatorspb.CallerKey{Id: k.ID, Workspace: string(k.Workspace)})
-	}
-	slices.SortFunc(c.CallerKeys, func(a, b *operatorspb.CallerKey) int { return cmp.Compare(a.Id, b.Id) })
 	for _, svc := range sorted(state.Services) {
 		c.Services = append(c.Services, serviceToWire(svc))
 	}
 	return c, nil
 }
 
+// ListCallerKeys returns the caller keys of a workspace, or of all.
+func (s *Server) ListCallerKeys(_ context.Context, r *operatorspb.ListCallerKeysRequest) (*operatorspb.CallerKeys, error) {
+	state := s.parts.Registry.Current()
+	return &operatorspb.CallerKeys{Version: uint64(state.Version), CallerKeys: callerKeysToWire(state, r.GetWorkspace())}, nil
+}
+
 // sorted returns the values of m in the order of their names.
 func sorted[K cmp.Ordered, V any](m map[K]V) []V {
 	values := make([]V, 0, len(m))
@@ -45,6 +44,27 @@
 	return values
 }
 
+func dataCentresToWire(state *config.State) []*operatorspb.DataCentre {
+	var all []*operatorspb.DataCentre
+	for _, dc := range sorted(state.DataCentres) {
+		all = append(all, &operatorspb.DataCentre{
+			Name: string(dc.Name), Region: string(dc.Region), Status: statusNames[dc.Status],
+		})
+	}
+	return all
+}
+
+func callerKeysToWire(state *config.State, workspace string) []*operatorspb.CallerKey {
+	var keys []*operatorspb.CallerKey
+	for _, k := range state.CallerKeys {
+		if workspace == "" || workspace == string(k.Workspace) {
+			keys = append(keys, &operatorspb.CallerKey{Id: k.ID, Workspace: string(k.Workspace)})
+		}
+	}
+	slices.SortFunc(keys, func(a, b *operatorspb.CallerKey) int { return cmp.Compare(a.Id, b.Id) })
+	return keys
+}
+
 func cellToWire(state *config.State, c config.Cell) *operatorspb.Cell {
 	w := &operatorspb.Cell{Name: string(c.Name), DataCentre: string(c.DataCentre), Epoch: uint64(c.Epoch)}
 	for _, m := range c.Members {
@@ -63,21 +83,33 @@
 	}
 }
 
-// GetStatus returns what this daemon sees of its cell.
-func (s *Server) GetStatus(context.Context, *operatorspb.GetStatusRequest) (*operatorspb.Status, error) {
-	table := s.tables.Table()
-	owned := map[core.TargetID]uint32{}
-	for _, shards := range table.Shards {
-		for _, a := range shards {
-			owned[a.Target]++
+// GetStatus returns what is in force at this daemon, who leads, what is wrong
+// and what the system does about it.
+func (s *Server) GetStatus(ctx context.Context, _ *operatorspb.GetStatusRequest) (*operatorspb.Status, error) {
+	view := s.parts.View()
+	status := &operatorspb.Status{
+		Vm: string(view.Self), Version: uint64(view.State.Version), DataCentre: string(view.DataCentre),
+		Cell: string(view.Table.Cell), Coordinator: string(view.Coordinator), LeaseLive: view.LeaseLive,
+		DataCentres: dataCentresToWire(view.State), Targets: targetsToWire(view.Table, ""),
+	}
+	_, status.Ready = health.Ready(view)
+	if s.parts.Voters != nil {
+		registry, err := s.parts.Voters.Status(ctx)
+		if err != nil {
+			return nil, toTwirp(err)
 		}
+		status.Registry = registryToWire(registry)
 	}
-	status := &operatorspb.Status{Vm: string(s.self), Version: uint64(s.registry.Current().Version)}
-	for _, e := range sorted(table.Targets) {
-		status.Targets = append(status.Targets, &operatorspb.TargetStatus{
-			Id: string(e.Target.ID), Service: string(e.Target.Service), Address: e.Target.Address,
-			Dispatcher: string(e.Dispatcher), Shards: owned[e.Target.ID],
-		})
+	for _, p := range health.Problems(view) {
+		status.Problems = append(status.Problems, &operatorspb.Problem{What: p.What, Doing: p.Doing, Code: uint32(p.Code)})
 	}
 	return status, nil
 }
+
+func registryToWire(r RegistryStatus) *operatorspb.RegistryStatus {
+	w := &operatorspb.RegistryStatus{Leader: string(r.Leader), Term: r.Term, CommitIndex: r.Commit}
+	for _, v := range r.Voters {
+		w.Voters = append(w.Voters, string(v))
+	}
+	return w
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -72,6 +72,7 @@
 	InvalidChange     Code = 503
 	NotFound          Code = 504
 	CommitUnknown     Code = 505
+	Unsupported       Code = 506
 	Starting          Code = 600
 	Stopping          Code = 601
 	Internal          Code = 700
@@ -122,6 +123,7 @@
 	InvalidChange:     {"invalid_change", NotRun, 400},
 	NotFound:          {"not_found", NotRun, 404},
 	CommitUnknown:     {"commit_unknown", MayHaveRun, 503},
+	Unsupported:       {"unsupported", NotRun, 501},
 	Starting:          {"starting", NotRun, 503},
 	Stopping:          {"stopping", NotRun, 503},
 	Internal:          {"internal", MayHaveRun, 500},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,93 +1,90 @@
 // Package settings reads and checks the static settings of one daemon: a JSON
 // file that a restart is needed to change. What operators change while the
-// system runs is in package config.
+// system runs is in package config. Types: settings.go. Reading: load.go.
+// Rules: check.go. JSON Schema: schema.go; docs/settings.schema.json holds it.
 package settings
 
-import (
-	"bytes"
-	"encoding/json"
-	"fmt"
-	"net"
-	"os"
-	"slices"
-
-	"github.com/comfreynotch/comfreynotch/internal/result"
-)
-
-// Settings are the static settings of one daemon.
+// Settings are the static settings of one daemon. The tags say what the JSON
+// Schema says: what a field is for, its default, its form and what it allows.
 type Settings struct {
-	VM         string    `json:"vm"`
-	DataCentre string    `json:"data_centre"`
-	Region     string    `json:"region,omitempty"`
-	Cell       string    `json:"cell"`
-	Listen     Listen    `json:"listen"`
-	Advertise  string    `json:"advertise,omitempty"` // host:port by which peers reach the inner listener; default: listen.inner
-	Registry   *Registry `json:"registry,omitempty"`  // set on registry voters
-	Seeds      []string  `json:"seeds,omitempty"`     // inner addresses of registry voters
-	LogLevel   string    `json:"log_level,omitempty"` // debug, info, warn, error; default info
-	Bootstrap  Bootstrap `json:"bootstrap,omitzero"`
+	VM           string    `json:"vm" doc:"name of this VM, unique over all data centres" form:"name"`
+	DataCentre   string    `json:"data_centre" doc:"data centre of this VM" form:"name"`
+	Region       string    `json:"region,omitempty" doc:"region of the data centre" form:"name"`
+	Cell         string    `json:"cell" doc:"cell of this VM" form:"name"`
+	Listen       Listen    `json:"listen" doc:"listeners' addresses"`
+	Advertise    string    `json:"advertise,omitempty" doc:"address by which other daemons reach the inner listener; default: listen.inner" form:"address"`
+	Registry     *Registry `json:"registry,omitempty" doc:"set on the VMs with a disk that vote in the registry; absent elsewhere"`
+	Seeds        []string  `json:"seeds,omitempty" doc:"inner addresses of registry voters, from which a daemon without a registry learns the configuration" form:"address"`
+	LogLevel     string    `json:"log_level,omitempty" doc:"least level of the lines that are logged" default:"info" enum:"debug,info,warn,error"`
+	Operators    Operators `json:"operators,omitzero" doc:"who counts as an operator"`
+	InnerTLS     TLS       `json:"inner_tls,omitzero" doc:"mutual TLS between daemons"`
+	OperatorsTLS TLS       `json:"operators_tls,omitzero" doc:"TLS of the operators' listener"`
+	Bootstrap    Bootstrap `json:"bootstrap,omitzero" doc:"configuration of the registry's first start; ignored once the registry holds any"`
 }
 
-// Listen holds the listeners' addresses, host:port.
+// Listen holds the listeners' addresses.
 type Listen struct {
-	Callers   string `json:"callers"`
-	Targets   string `json:"targets"`
-	Inner     string `json:"inner"`
-	Operators string `json:"operators"`
-	Metrics   string `json:"metrics"`
+	Callers   string `json:"callers" doc:"callers' requests" form:"address"`
+	Targets   string `json:"targets" doc:"targets' announcements" form:"address"`
+	Inner     string `json:"inner" doc:"other daemons" form:"address"`
+	Operators string `json:"operators" doc:"operators' calls" form:"address"`
+	Metrics   string `json:"metrics" doc:"metrics, liveness and readiness" form:"address"`
 }
 
 // Registry holds the settings of a registry voter.
 type Registry struct {
-	DataFolder string `json:"data_folder"` // holds the log and the snapshots
+	DataFolder string `json:"data_folder" doc:"folder on the disk that holds the log and the snapshots" form:"path"`
+}
+
+// The ways in which operators are authenticated.
+const (
+	AuthToken       = "token"
+	AuthCertificate = "certificate"
+	AuthEither      = "token or certificate"
+	AuthOff         = "off on loopback"
+)
+
+// Operators says who counts as an operator.
+type Operators struct {
+	Auth          string   `json:"auth,omitempty" doc:"how operators are authenticated; off only where listen.operators is a loopback address" default:"token" enum:"token,certificate,token or certificate,off on loopback"`
+	TokenHashes   []string `json:"token_hashes,omitempty" doc:"SHA-256 of each token that is accepted, in hexadecimal digits; comfreynotch token makes one" form:"sha256"`
+	TokenHashFile string   `json:"token_hash_file,omitempty" doc:"file with one such hash a line; the first start makes a token if the file is absent, shows it once and stores its hash" form:"path"`
 }
 
-// Bootstrap is the configuration of a registry's first start. It is ignored
-// once the registry holds any.
+// PlainTextAllowed is the value of TLS.PlainText that permits a listener without
+// TLS on an address that is not loopback.
+const PlainTextAllowed = "allowed"
+
+// TLS names the key files of a listener and its clients. All three are set, or
+// none. They are read again when they change.
+type TLS struct {
+	CertificateFile string `json:"certificate_file,omitempty" doc:"PEM certificate of this VM" form:"path"`
+	KeyFile         string `json:"key_file,omitempty" doc:"PEM private key of the certificate" form:"path"`
+	AuthorityFile   string `json:"authority_file,omitempty" doc:"PEM certificates of the authorities that sign the other side" form:"path"`
+	PlainText       string `json:"plain_text,omitempty" doc:"permits plain text on an address that is not loopback" enum:"allowed"`
+}
+
+// Enabled reports whether key files are set.
+func (t TLS) Enabled() bool { return t.CertificateFile != "" }
+
+// Bootstrap is the configuration of a registry's first start.
 type Bootstrap struct {
-	Voters []Peer          `json:"voters,omitempty"`
-	Cells  []BootstrapCell `json:"cells,omitempty"`
+	Voters []Peer          `json:"voters,omitempty" doc:"first members of the registry, the same on each of them"`
+	Cells  []BootstrapCell `json:"cells,omitempty" doc:"first cells, with their data centres"`
 }
 
 // Peer is one VM and its inner address.
 type Peer struct {
-	VM    string `json:"vm"`
-	Inner string `json:"inner"`
+	VM    string `json:"vm" doc:"name of the VM" form:"name"`
+	Inner string `json:"inner" doc:"address of its inner listener" form:"address"`
 }
 
 // BootstrapCell is one cell of the first configuration.
 type BootstrapCell struct {
-	Name       string `json:"name"`
-	DataCentre string `json:"data_centre"`
-	Region     string `json:"region,omitempty"`
-	Members    []Peer `json:"members"`
-}
-
-// Load reads and checks the file at path.
-func Load(path string) (*Settings, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, result.Wrap(result.SettingsInvalid, err, "settings file")
-	}
-	return Parse(data)
-}
-
-// Parse reads and checks settings. The error names the field at fault and what
-// it allows, in one line.
-func Parse(data []byte) (*Settings, error) {
-	s := &Settings{LogLevel: "info"}
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(s); err != nil {
-		return nil, result.Wrap(result.SettingsInvalid, err, "settings")
-	}
-	if s.Advertise == "" {
-		s.Advertise = s.Listen.Inner
-	}
-	if err := s.check(); err != nil {
-		return nil, result.Wrap(result.SettingsInvalid, err, "settings")
-	}
-	return s, nil
+	Name       string `json:"name" doc:"name of the cell" form:"name"`
+	DataCentre string `json:"data_centre" doc:"its data centre" form:"name"`
+	Region     string `json:"region,omitempty" doc:"region of the data centre" form:"name"`
+	Members    []Peer `json:"members" doc:"its VMs"`
 }
 
 // Default returns the settings of one daemon with everything in it, on loopback.
@@ -99,47 +96,10 @@
 			Operators: "127.0.0.1:7803", Metrics: "127.0.0.1:7804",
 		},
 		Advertise: "127.0.0.1:7802",
+		Operators: Operators{Auth: AuthOff},
 	}
 	s.Bootstrap.Cells = []BootstrapCell{{
 		Name: "local", DataCentre: "local", Members: []Peer{{VM: "vm-1", Inner: "127.0.0.1:7802"}},
 	}}
 	return s
 }
-
-var logLevels = []string{"debug", "info", "warn", "error"}
-
-func (s *Settings) check() error {
-	required := []struct{ field, value string }{
-		{"vm", s.VM}, {"data_centre", s.DataCentre}, {"cell", s.Cell},
-	}
-	for _, r := range required {
-		if r.value == "" {
-			return fmt.Errorf("field %s: want a name that is not empty", r.field)
-		}
-	}
-	if !slices.Contains(logLevels, s.LogLevel) {
-		return fmt.Errorf("field log_level: want one of %v, not %q", logLevels, s.LogLevel)
-	}
-	return s.checkAddresses()
-}
-
-func (s *Settings) checkAddresses() error {
-	seen := map[string]string{}
-	for _, a := range []struct{ field, value string }{
-		{"listen.callers", s.Listen.Callers},
-		{"listen.targets", s.Listen.Targets},
-		{"listen.inner", s.Listen.Inner},
-		{"listen.operators", s.Listen.Operators},
-		{"listen.metrics", s.Listen.Metrics},
-	} {
-		_, port, err := net.SplitHostPort(a.value)
-		if err != nil {
-			return fmt.Errorf("field %s: want host:port, not %q", a.field, a.value)
-		}
-		if other, ok := seen[a.value]; ok && port != "0" {
-			return fmt.Errorf("field %s: address %s is already that of %s", a.field, a.value, other)
-		}
-		seen[a.value] = a.field
-	}
-	return nil
-}
