--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -56,9 +56,11 @@
 		{"half TLS", `"vm"`, `"inner_tls": {"certificate_file": "c"}, "vm"`, "field inner_tls.key_file", "all set or all absent"},
 		{"plain text", `"127.0.0.1:3"`, `"10.0.0.1:3"`, "field inner_tls", "plain_text"},
 		{"no registry", `"registry": {"data_folder": "data"},`, ``, "field seeds", "at least one registry voter"},
-		{"VM twice", `"vm"`, `"bootstrap": {"cells": [{"name": "c", "data_centre": "d", "members": [
+		{
+			"VM twice", `"vm"`, `"bootstrap": {"cells": [{"name": "c", "data_centre": "d", "members": [
 			{"vm": "v", "inner": "127.0.0.1:1"}, {"vm": "v", "inner": "127.0.0.1:2"}]}]}, "vm"`,
-			"field bootstrap.cells[0].members[1].vm", "each VM in one cell"},
+			"field bootstrap.cells[0].members[1].vm", "each VM in one cell",
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
