--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
+	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/registry"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
@@ -40,6 +41,7 @@
 	cell       *cell.Task
 	dispatch   *dispatch.Task
 	quota      *quota.Task
+	policy     operators.Policy
 	pipeline   *serve.Server
 }
 
@@ -54,8 +56,13 @@
 		bound.close()
 		return nil, fmt.Errorf("first configuration: %w", err)
 	}
+	policy, err := operatorsPolicy(s.Operators)
+	if err != nil {
+		bound.close()
+		return nil, err
+	}
 	self := core.VM(s.VM)
-	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s)}
+	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s), policy: policy}
 	d.dispatch = dispatch.NewTask(self)
 	d.cell = cell.NewTask(self, core.Cell(s.Cell), d.dispatch.TableChanged)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
@@ -80,6 +87,7 @@
 func (d *Daemon) configChanged(s *config.State) {
 	d.recordConfiguration(s)
 	d.quota.ConfigChanged(s)
+	d.dispatch.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
 }
 
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -52,6 +52,7 @@
 	Overloaded        Code = 201
 	DeadlineInQueue   Code = 202
 	CallerGone        Code = 203
+	RetryBudgetSpent  Code = 204
 	NoTarget          Code = 300
 	NotOwner          Code = 301
 	ShardUnassigned   Code = 302
@@ -72,6 +73,7 @@
 	InvalidChange     Code = 503
 	NotFound          Code = 504
 	CommitUnknown     Code = 505
+	Unsupported       Code = 506
 	Starting          Code = 600
 	Stopping          Code = 601
 	Internal          Code = 700
@@ -102,6 +104,7 @@
 	Overloaded:        {"overloaded", NotRun, 503},
 	DeadlineInQueue:   {"deadline_in_queue", NotRun, 504},
 	CallerGone:        {"caller_gone", NotRun, 499},
+	RetryBudgetSpent:  {"retry_budget_spent", NotRun, 503},
 	NoTarget:          {"no_target", NotRun, 503},
 	NotOwner:          {"not_owner", NotRun, 503},
 	ShardUnassigned:   {"shard_unassigned", NotRun, 503},
@@ -122,6 +125,7 @@
 	InvalidChange:     {"invalid_change", NotRun, 400},
 	NotFound:          {"not_found", NotRun, 404},
 	CommitUnknown:     {"commit_unknown", MayHaveRun, 503},
+	Unsupported:       {"unsupported", NotRun, 501},
 	Starting:          {"starting", NotRun, 503},
 	Stopping:          {"stopping", NotRun, 503},
 	Internal:          {"internal", MayHaveRun, 500},
