--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -17,11 +18,13 @@
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
+	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/registry"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/task"
+	"github.com/comfreynotch/comfreynotch/internal/timeline"
 	"github.com/comfreynotch/comfreynotch/internal/upstream"
 )
 
@@ -33,10 +36,12 @@
 	listeners listeners
 
 	registry   *registry.Task
+	recorder   *timeline.Recorder
 	membership *membership.Task
 	cell       *cell.Task
 	dispatch   *dispatch.Task
 	quota      *quota.Task
+	policy     operators.Policy
 	pipeline   *serve.Server
 }
 
@@ -51,15 +56,20 @@
 		bound.close()
 		return nil, fmt.Errorf("first configuration: %w", err)
 	}
+	policy, err := operatorsPolicy(s.Operators)
+	if err != nil {
+		bound.close()
+		return nil, err
+	}
 	self := core.VM(s.VM)
-	d := &Daemon{settings: s, logger: logger, listeners: bound}
+	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s), policy: policy}
 	d.dispatch = dispatch.NewTask(self)
-	d.quota = quota.NewTask()
 	d.cell = cell.NewTask(self, core.Cell(s.Cell), d.dispatch.TableChanged)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
 	d.registry = registry.NewTask(initial, d.configChanged)
+	d.quota = quota.NewTask(self, core.Cell(s.Cell), authority{self: self}, innerproto.NewQuotaClient(http.DefaultClient), d.registry)
 	d.pipeline = &serve.Server{
 		Self:      self,
 		Config:    d.registry.State(),
@@ -75,7 +85,9 @@
 
 // configChanged hands an accepted state to the tasks that act on it.
 func (d *Daemon) configChanged(s *config.State) {
+	d.recordConfiguration(s)
 	d.quota.ConfigChanged(s)
+	d.dispatch.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
 }
 
@@ -83,6 +95,7 @@
 	d.root = task.NewSupervisor("comfreynotchd", func(event string) {
 		_ = level.Warn(d.logger).Log("msg", "task event", "event", event)
 	})
+	d.root.Add(d.recorder)
 	d.root.Add(d.dispatch)
 	d.root.Add(d.quota)
 	d.root.Add(d.cell)
