Let requests outlast a lost holder of tokens

Cause: a request was refused after 250 ms as over its rate although the draw that would have shown it was still under way to a lost coordinator; found by TestRequestsOutlastALostCoordinator, which failed with 200 rate_exceeded. Change: only an answer of the source shows that a workspace is over its rate; without one a request waits up to 1.5 s and is then told that the source is out of reach. An answer's advice to come back later counts until that time, which TestSlowRateIsNamed holds. Conclusion: an election no longer costs wrongful refusals inside its 1.5 s.

--- a/internal/quota/admission.go
+++ b/internal/quota/admission.go
@@ -12,7 +12,7 @@
 
 const (
 	tokenWait       = 250 * time.Millisecond  // longest wait of a request while its workspace is over its rate
-	unreachableWait = 1500 * time.Millisecond // longest wait while no source can be asked
+	unreachableWait = 1500 * time.Millisecond // longest wait while the source does not answer
 	maxWaiting      = 1024                    // requests of one workspace that wait at one daemon
 )
 
@@ -35,8 +35,8 @@
 
 type admissionAccount struct {
 	account
-	waiting     []waiter
-	unreachable bool // the newest draw failed
+	waiting    []waiter
+	shownUntil time.Time // requests that began before are known to have been answered for
 }
 
 type waiter struct {
@@ -84,7 +84,7 @@
 		return Verdict{Ticket: t}, true
 	}
 	if len(acc.waiting) >= maxWaiting {
-		return Verdict{t, acc.refusal(w, now)}, true
+		return Verdict{t, acc.refusal(w, acc.waiting[0].since, now)}, true
 	}
 	acc.waiting = append(acc.waiting, waiter{t, now})
 	return Verdict{}, false
@@ -115,7 +115,7 @@
 			continue
 		}
 		acc.receive(got, now)
-		acc.unreachable = false
+		acc.shownUntil = now.Add(got.RetryAfter)
 		verdicts = acc.admitWaiting(verdicts, now)
 		acc.setLimit(acc.limit)
 	}
@@ -125,7 +125,6 @@
 // DrawFailed notes that the cell's source could not be asked.
 func (a *Admission) DrawFailed(now time.Time) {
 	for _, acc := range a.accounts {
-		acc.unreachable = true
 		acc.retryAt = now.Add(drawRetry)
 	}
 }
@@ -135,8 +134,8 @@
 	var verdicts []Verdict
 	for name, acc := range a.active {
 		n := 0
-		for n < len(acc.waiting) && now.Sub(acc.waiting[n].since) >= acc.maxWait() {
-			verdicts = append(verdicts, Verdict{acc.waiting[n].ticket, acc.refusal(name, now)})
+		for n < len(acc.waiting) && acc.expired(acc.waiting[n], now) {
+			verdicts = append(verdicts, Verdict{acc.waiting[n].ticket, acc.refusal(name, acc.waiting[n].since, now)})
 			n++
 		}
 		acc.waiting = acc.waiting[n:]
@@ -163,16 +162,18 @@
 	return verdicts
 }
 
-func (a *admissionAccount) maxWait() time.Duration {
-	if a.unreachable {
-		return unreachableWait
-	}
-	return tokenWait
+// expired reports whether w has waited long enough. Only an answer of the
+// source after w began to wait, or one whose advice was to ask later than that,
+// shows that the workspace is over its rate.
+func (a *admissionAccount) expired(w waiter, now time.Time) bool {
+	waited := now.Sub(w.since)
+	return waited >= unreachableWait || waited >= tokenWait && a.shownUntil.After(w.since)
 }
 
-func (a *admissionAccount) refusal(w core.Workspace, now time.Time) *result.Error {
-	if a.unreachable {
-		return result.New(result.CellUnreachable, "no source of tokens for workspace %s can be asked", w)
+// refusal is the error for a request that came at since.
+func (a *admissionAccount) refusal(w core.Workspace, since, now time.Time) *result.Error {
+	if !a.shownUntil.After(since) {
+		return result.New(result.CellUnreachable, "no source of tokens for workspace %s answered", w)
 	}
 	e := result.New(result.RateExceeded, "workspace %s is over its rate", w)
 	e.RetryAfter = max(drawRetry, a.retryAt.Sub(now))
