--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -14,14 +14,22 @@
 	RequestID string       // resends carry the same id and get the first answer
 	Expected  core.Version // version the operator saw; 0: any
 	Change    Change
+	Digest    Digest // of Change, the same on every replica; it tells a resend from another change
 }
 
 // Change is one of the Put and Delete types of this package.
 type Change interface {
-	// apply edits next, a copy of the state whose maps may be written.
+	// apply edits next, a copy of the state whose maps may be written. It checks
+	// all that it needs before its first edit: after an error next is unchanged.
 	apply(next *State) error
 }
 
+// Bootstrap is the first change of a registry without any.
+type Bootstrap struct {
+	DataCentres []DataCentre
+	Cells       []PutCell
+}
+
 // PutDataCentre adds a data centre or changes its status.
 type PutDataCentre struct{ DataCentre DataCentre }
 
@@ -56,20 +64,48 @@
 // Apply returns the state after c. The receiver stays as it is. A resend of an
 // answered request returns the receiver and no error.
 func (s *State) Apply(c Command) (*State, error) {
-	if _, ok := s.Answered[c.RequestID]; ok {
-		return s, nil
+	d := s.Draft()
+	v, err := d.Apply(c)
+	if err != nil || v <= s.Version {
+		return s, err
+	}
+	return d.State(), nil
+}
+
+// Draft is a copy of a state that takes several commands before it is
+// published. Commands must come in the order of the log.
+type Draft struct{ next *State }
+
+// Draft returns a draft that starts from s.
+func (s *State) Draft() Draft { return Draft{s.clone()} }
+
+// State ends the draft.
+func (d Draft) State() *State { return d.next }
+
+// Version is that of the draft so far.
+func (d Draft) Version() core.Version { return d.next.Version }
+
+// Apply applies c and returns the version in force after it, for a resend that
+// of the first answer. After an error the draft is as it was.
+func (d Draft) Apply(c Command) (core.Version, error) {
+	next := d.next
+	if a, ok := next.Answered.Find(c.RequestID); ok {
+		if a.Digest != c.Digest {
+			return 0, result.New(result.RequestIDReused,
+				"request id %s was answered for another change, at version %d", c.RequestID, a.Version)
+		}
+		return a.Version, nil
 	}
-	if c.Expected != 0 && c.Expected != s.Version {
-		return s, result.New(result.VersionConflict,
-			"version %d is in force, the change expects %d", s.Version, c.Expected)
+	if c.Expected != 0 && c.Expected != next.Version {
+		return 0, result.New(result.VersionConflict,
+			"version %d is in force, the change expects %d", next.Version, c.Expected)
 	}
-	next := s.clone()
 	if err := c.Change.apply(next); err != nil {
-		return s, fmt.Errorf("apply %T: %w", c.Change, err)
+		return 0, fmt.Errorf("apply %T: %w", c.Change, err)
 	}
 	next.Version++
-	next.Answered[c.RequestID] = Answer{Version: next.Version}
-	return next, nil
+	next.Answered.add(c.RequestID, Answer{Version: next.Version, Digest: c.Digest})
+	return next.Version, nil
 }
 
 func (s *State) clone() *State {
@@ -82,10 +118,29 @@
 		CallerKeys:  maps.Clone(s.CallerKeys),
 		Services:    maps.Clone(s.Services),
 		Homes:       maps.Clone(s.Homes),
-		Answered:    maps.Clone(s.Answered),
+		Answered:    s.Answered.clone(),
 	}
 }
 
+func (c Bootstrap) apply(next *State) error {
+	if next.Version != 0 {
+		return result.New(result.InvalidChange, "the registry holds version %d already", next.Version)
+	}
+	draft := next.clone()
+	for _, dc := range c.DataCentres {
+		if err := (PutDataCentre{dc}).apply(draft); err != nil {
+			return err
+		}
+	}
+	for _, cell := range c.Cells {
+		if err := cell.apply(draft); err != nil {
+			return err
+		}
+	}
+	*next = *draft
+	return nil
+}
+
 func (c PutDataCentre) apply(next *State) error {
 	if c.DataCentre.Name == "" {
 		return result.New(result.InvalidChange, "data centre without a name")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -101,13 +101,7 @@
 	CallerKeys  map[KeyHash]CallerKey
 	Services    map[core.Service]Service
 	Homes       map[core.Service]ShardHomes
-	Answered    map[string]Answer // operators' request ids
-}
-
-// Answer is the stored answer to one operators' request.
-type Answer struct {
-	Version core.Version // version in force after the request
-	Digest  [sha256.Size]byte
+	Answered    Answers
 }
 
 // NewState returns the empty configuration, version 0.
@@ -120,7 +114,7 @@
 		CallerKeys:  map[KeyHash]CallerKey{},
 		Services:    map[core.Service]Service{},
 		Homes:       map[core.Service]ShardHomes{},
-		Answered:    map[string]Answer{},
+		Answered:    newAnswers(),
 	}
 }
 
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -74,6 +74,7 @@
 	NotFound          Code = 504
 	CommitUnknown     Code = 505
 	Unsupported       Code = 506
+	RequestIDReused   Code = 507
 	Starting          Code = 600
 	Stopping          Code = 601
 	Internal          Code = 700
@@ -126,6 +127,7 @@
 	NotFound:          {"not_found", NotRun, 404},
 	CommitUnknown:     {"commit_unknown", MayHaveRun, 503},
 	Unsupported:       {"unsupported", NotRun, 501},
+	RequestIDReused:   {"request_id_reused", NotRun, 409},
 	Starting:          {"starting", NotRun, 503},
 	Stopping:          {"stopping", NotRun, 503},
 	Internal:          {"internal", MayHaveRun, 500},
