Replicate the configuration and spread it by long polls

One process held the configuration in memory, so a restart lost it and a second daemon knew nothing of it.

The registry's task now owns raft core, storage and state machine. A proposal is sent to the leader and repeated under its request id until its outcome is certain; "not run" is said only where another entry took its index or nothing was appended. A state is published once a confirmed read proved it. Members are added as learners, promoted once they caught up and removed, one change at a time; a planned stop hands the lead over.

Each answer carries the age of the proof behind it, so that daemons which are cut off together do not keep each other content. A daemon takes a state into force when a fresh proof or a majority of its cell stands behind it, and never an older one after a newer one.

Both speak innerproto/registry.proto; the daemon chooses its role by its settings: a data folder makes a voter, no voters and no seeds a lone voter in memory, anything else a follower.

--- /dev/null
+++ b/internal/configsync/task.go
@@ -0,0 +1,180 @@
+package configsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/result"
+	"github.com/comfreynotch/comfreynotch/internal/task"
+)
+
+const (
+	mailboxSize = 1024
+	sweepPeriod = 250 * time.Millisecond
+	maxHold     = 5 * time.Second
+)
+
+// Task owns this daemon's copy of the configuration. It publishes a state once
+// the registry or a majority of the cell stands behind it, never an older one
+// after a newer one, and answers other daemons.
+type Task struct {
+	mailbox task.Mailbox[message]
+	state   task.Snapshot[config.State]
+	proof   task.Snapshot[time.Time]
+	codec   Codec
+	changed func(*config.State)
+
+	newest      *config.State // published once confirmed
+	confirmed   bool
+	confirmedAt time.Time
+	history     history
+	snapshot    []byte // of newest, made when first asked for
+	waiters     []waiter
+}
+
+type message interface{ isMessage() }
+
+type (
+	update   struct{ Update }
+	question struct {
+		Question
+		reply task.Reply[Answer]
+	}
+)
+
+func (update) isMessage()   {}
+func (question) isMessage() {}
+
+type waiter struct {
+	version core.Version
+	until   time.Time
+	reply   task.Reply[Answer]
+}
+
+// NewTask returns a task without any state. It calls changed, from its own
+// goroutine, with each state that it publishes; changed must not wait.
+func NewTask(codec Codec, changed func(*config.State)) *Task {
+	empty := config.NewState()
+	return &Task{
+		mailbox: task.NewMailbox[message]("configsync", mailboxSize),
+		state:   task.NewSnapshot(empty),
+		proof:   task.NewSnapshot(&time.Time{}),
+		codec:   codec, changed: changed, newest: empty,
+	}
+}
+
+// State publishes the state in force, version 0 until one is confirmed.
+func (t *Task) State() task.Snapshot[config.State] { return t.state }
+
+// Current returns the state in force.
+func (t *Task) Current() *config.State { return t.state.Load() }
+
+// ConfirmedAt is when the state in force was the registry's newest; zero: it
+// was never proved.
+func (t *Task) ConfirmedAt() time.Time { return *t.proof.Load() }
+
+// Offer hands over a newer state or a newer proof. If the mailbox is full it is
+// lost: the next one closes the gap, or the poll that made it is repeated.
+func (t *Task) Offer(u Update) { _ = t.mailbox.Post(update{u}) }
+
+// Watch answers what is newer than a version, at once or when there is.
+func (t *Task) Watch(ctx context.Context, q Question) (Answer, error) {
+	a, err := task.Ask(ctx, t.mailbox, func(r task.Reply[Answer]) message { return question{q, r} })
+	if err != nil {
+		return Answer{}, result.Wrap(result.Overloaded, err, "configuration")
+	}
+	return a, nil
+}
+
+// Serve runs the task until ctx ends.
+func (t *Task) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			t.answerWaiters(func(w waiter) bool { return now.After(w.until) })
+		case m := <-t.mailbox.C():
+			switch m := m.(type) {
+			case update:
+				t.take(m.Update)
+			case question:
+				t.ask(m)
+			}
+		}
+	}
+}
+
+func (t *Task) take(u Update) {
+	if u.State.Version < t.newest.Version {
+		return
+	}
+	if u.ConfirmedAt.After(t.confirmedAt) {
+		t.confirmedAt = u.ConfirmedAt
+		t.proof.Publish(&u.ConfirmedAt)
+	}
+	first := u.Confirmed && !t.confirmed
+	t.confirmed = t.confirmed || u.Confirmed
+	if u.State.Version > t.newest.Version {
+		t.history.add(u.State.Version, u.Commands)
+		t.newest, t.snapshot = u.State, nil
+	} else if !first {
+		return
+	}
+	if !t.confirmed {
+		return
+	}
+	t.state.Publish(t.newest)
+	t.changed(t.newest)
+	t.answerWaiters(func(w waiter) bool { return w.version < t.newest.Version })
+}
+
+func (t *Task) ask(q question) {
+	if q.Version < t.newest.Version || q.Hold <= 0 {
+		q.reply.Answer(t.answer(q.Version))
+		return
+	}
+	t.waiters = append(t.waiters, waiter{q.Version, time.Now().Add(min(q.Hold, maxHold)), q.reply})
+}
+
+func (t *Task) answerWaiters(due func(waiter) bool) {
+	kept := t.waiters[:0]
+	for _, w := range t.waiters {
+		if due(w) {
+			w.reply.Answer(t.answer(w.version))
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(t.waiters[len(kept):])
+	t.waiters = kept
+}
+
+// answer says what is newer than a version. A daemon that has no confirmed
+// state passes none on.
+func (t *Task) answer(version core.Version) Answer {
+	if !t.confirmed {
+		return Answer{}
+	}
+	a := Answer{Version: t.newest.Version}
+	if !t.confirmedAt.IsZero() {
+		a.Proved, a.Age = true, time.Since(t.confirmedAt)
+	}
+	if version >= t.newest.Version {
+		return a
+	}
+	commands, ok := t.history.since(version)
+	if ok {
+		a.Commands = commands
+		return a
+	}
+	if t.snapshot == nil {
+		t.snapshot, _ = t.codec.EncodeState(t.newest) // an empty answer makes the asker try another
+	}
+	a.Snapshot = t.snapshot
+	return a
+}
--- /dev/null
+++ b/internal/configsync/task_poll.go
@@ -0,0 +1,192 @@
+package configsync
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/result"
+)
+
+const (
+	holdTime     = 1500 * time.Millisecond
+	pollTimeout  = 2500 * time.Millisecond
+	firstTimeout = 500 * time.Millisecond // while nothing is confirmed
+	failurePause = 200 * time.Millisecond
+	rereadPause  = 20 * time.Millisecond
+	votesPause   = time.Second // between looks whether the own replica is up to date
+)
+
+// Client asks other daemons.
+type Client interface {
+	Watch(ctx context.Context, address string, q Question) (Answer, error)
+	// ProposeAt asks the registry through the voter at address.
+	ProposeAt(ctx context.Context, address string, command []byte) (core.Version, error)
+}
+
+// Poller is the task that asks other daemons for what is newer, one at a time.
+type Poller struct {
+	Self        core.VM
+	Cell        core.Cell
+	Voters      []string       // inner addresses, from the settings
+	First       *config.State  // cells known from the settings; may be nil
+	Coordinator func() core.VM // of the cell, empty if unknown
+	Votes       bool           // the daemon holds a replica of the registry, which comes first
+	Task        *Task
+	Client      Client
+}
+
+// Serve asks until ctx ends.
+func (p *Poller) Serve(ctx context.Context) error {
+	r := pollRun{Poller: p, state: p.Task.Current()}
+	for ctx.Err() == nil {
+		wait := r.poll(ctx)
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return ctx.Err()
+}
+
+// pollRun is the state of one run of a Poller.
+type pollRun struct {
+	*Poller
+	state     *config.State // newest seen, confirmed or not
+	choice    choice
+	votes     votes
+	confirmed bool
+}
+
+// poll asks one source and returns how long to wait before the next.
+func (r *pollRun) poll(ctx context.Context) time.Duration {
+	if r.Votes && time.Since(r.Task.ConfirmedAt()) < maxAge {
+		return votesPause
+	}
+	if current := r.Task.Current(); current.Version > r.state.Version {
+		r.state = current
+	}
+	known := r.state
+	if known.Version == 0 && r.First != nil {
+		known = r.First
+	}
+	sources := sourcesOf(known, r.Self, r.Cell, r.Coordinator(), r.Voters)
+	now := time.Now()
+	source, ok := r.choice.source(sources, now)
+	if !ok {
+		return failurePause
+	}
+	hold, timeout := holdTime, pollTimeout
+	if !r.confirmed {
+		hold, timeout = 0, firstTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	a, err := r.Client.Watch(ctx, source.Address, Question{r.state.Version, hold})
+	if err == nil {
+		err = r.take(source, a, now)
+	}
+	if err != nil || !r.confirmed || !isFresh(a, now) {
+		r.choice.next(time.Now())
+	}
+	switch {
+	case err != nil || a.Version == 0:
+		return failurePause
+	case !r.confirmed:
+		return rereadPause
+	default:
+		return 0
+	}
+}
+
+// isFresh reports whether the proof behind an answer to a question asked at
+// asked is young enough. The time of the whole poll counts.
+func isFresh(a Answer, asked time.Time) bool {
+	return a.Proved && a.Age+time.Since(asked) < maxAge+holdTime
+}
+
+// take merges an answer and offers the outcome to the task.
+func (r *pollRun) take(source Source, a Answer, asked time.Time) error {
+	if a.Version == 0 {
+		return nil // it has none that is confirmed
+	}
+	next, err := Merge(r.state, a, r.Task.codec)
+	if err != nil {
+		r.state = config.NewState() // the next answer is a whole state
+		return err
+	}
+	r.state = next
+	u := Update{State: next, Commands: a.Commands}
+	if a.Proved && a.Version >= next.Version {
+		u.ConfirmedAt = asked.Add(-a.Age)
+	}
+	if source.Member != "" {
+		r.votes.add(source.Member)
+	}
+	if isFresh(a, asked) || r.votes.majority(next.Cells[r.Cell].Members) {
+		r.confirmed = true
+	}
+	u.Confirmed = r.confirmed
+	r.Task.Offer(u)
+	return nil
+}
+
+// Remote asks the registry for changes on a daemon that does not vote.
+type Remote struct {
+	Task   *Task
+	Voters func() []string // inner addresses
+	Client Client
+	Retry  func(ctx context.Context, attempt func() error) error
+}
+
+const proposeTimeout = 8 * time.Second
+
+// Propose asks for a change and returns the state in force after it, once it is
+// in force at this daemon.
+func (r *Remote) Propose(ctx context.Context, c config.Command) (*config.State, error) {
+	if c.RequestID == "" {
+		c.RequestID = rand.Text()
+	}
+	data, err := r.Task.codec.EncodeCommand(c)
+	if err != nil {
+		return nil, result.Wrap(result.InvalidChange, err, "change")
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	voters, place := r.Voters(), 0
+	if len(voters) == 0 {
+		return nil, result.New(result.NoLeader, "no registry voter is known")
+	}
+	var version core.Version
+	err = r.Retry(ctx, func() (err error) {
+		version, err = r.Client.ProposeAt(ctx, voters[place%len(voters)], data)
+		place++
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return r.Task.Reached(ctx, version)
+}
+
+// Current returns the state in force at this daemon.
+func (r *Remote) Current() *config.State { return r.Task.Current() }
+
+// Reached waits until a version is in force at this daemon.
+func (t *Task) Reached(ctx context.Context, version core.Version) (*config.State, error) {
+	for t.Current().Version < version {
+		timer := time.NewTimer(rereadPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, result.Wrap(result.CommitUnknown, context.Cause(ctx),
+				"version %d is accepted but is not in force at this VM yet", version)
+		case <-timer.C:
+		}
+	}
+	return t.Current(), nil
+}
--- a/internal/daemon/bootstrap.go
+++ b/internal/daemon/bootstrap.go
@@ -1,40 +1,42 @@
 package daemon
 
 import (
-	"strconv"
-
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/raft"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 )
 
-// bootstrapState returns the configuration of a first start.
-func bootstrapState(s *settings.Settings) (*config.State, error) {
-	state := config.NewState()
-	for i, change := range bootstrapChanges(s.Bootstrap) {
-		next, err := state.Apply(config.Command{RequestID: "bootstrap-" + strconv.Itoa(i), Change: change})
-		if err != nil {
-			return nil, err
-		}
-		state = next
+// firstChange returns the first change of a registry without any, nil if the
+// settings name none.
+func firstChange(b settings.Bootstrap) *config.Bootstrap {
+	if len(b.Cells) == 0 {
+		return nil
 	}
-	return state, nil
-}
-
-func bootstrapChanges(b settings.Bootstrap) []config.Change {
-	var changes []config.Change
+	first := &config.Bootstrap{}
 	for _, c := range b.Cells {
-		changes = append(changes, config.PutDataCentre{DataCentre: config.DataCentre{
+		first.DataCentres = append(first.DataCentres, config.DataCentre{
 			Name: core.DataCentre(c.DataCentre), Region: core.Region(c.Region), Status: config.DataCentreIn,
-		}})
-	}
-	for _, c := range b.Cells {
+		})
 		put := config.PutCell{Cell: config.Cell{Name: core.Cell(c.Name), DataCentre: core.DataCentre(c.DataCentre)}}
 		for _, m := range c.Members {
 			put.Cell.Members = append(put.Cell.Members, core.VM(m.VM))
 			put.VMs = append(put.VMs, config.VM{Name: core.VM(m.VM), InnerAddress: m.Inner})
 		}
-		changes = append(changes, put)
+		first.Cells = append(first.Cells, put)
+	}
+	return first
+}
+
+// firstMembers returns the first members of the registry. Without a list, a
+// voter is alone, unless seeds show that it joins one.
+func firstMembers(s *settings.Settings, self raft.Member) raft.Members {
+	var members raft.Members
+	for _, v := range s.Bootstrap.Voters {
+		members = append(members, raft.Member{VM: core.VM(v.VM), Address: v.Inner})
+	}
+	if len(members) == 0 && len(s.Seeds) == 0 {
+		members = raft.Members{self}
 	}
-	return changes
+	return members.Sorted()
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,7 +20,6 @@
 	"github.com/comfreynotch/comfreynotch/internal/membership"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
-	"github.com/comfreynotch/comfreynotch/internal/registry"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/task"
@@ -35,7 +34,7 @@
 	root      *suture.Supervisor
 	listeners listeners
 
-	registry   *registry.Task
+	registry   *configuration
 	recorder   *timeline.Recorder
 	membership *membership.Task
 	cell       *cell.Task
@@ -51,11 +50,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("bind listeners: %w", err)
 	}
-	initial, err := bootstrapState(s)
-	if err != nil {
-		bound.close()
-		return nil, fmt.Errorf("first configuration: %w", err)
-	}
 	policy, err := operatorsPolicy(s.Operators)
 	if err != nil {
 		bound.close()
@@ -68,7 +62,10 @@
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
-	d.registry = registry.NewTask(initial, d.configChanged)
+	if d.registry, err = d.newConfiguration(); err != nil {
+		bound.close()
+		return nil, fmt.Errorf("registry: %w", err)
+	}
 	d.quota = quota.NewTask(self, core.Cell(s.Cell), authority{self: self}, innerproto.NewQuotaClient(http.DefaultClient), d.registry)
 	d.pipeline = &serve.Server{
 		Self:      self,
@@ -100,7 +97,9 @@
 	d.root.Add(d.quota)
 	d.root.Add(d.cell)
 	d.root.Add(d.membership)
-	d.root.Add(d.registry)
+	for _, s := range d.registry.tasks() {
+		d.root.Add(s)
+	}
 	for _, s := range d.servers() {
 		d.root.Add(s)
 	}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -18,6 +18,7 @@
 func (d *Daemon) operatorsHandler() http.Handler {
 	server := operators.NewServer(operators.Parts{
 		Registry: d.registry,
+		Voters:   d.registry,
 		Cell:     cellView{d.cell, core.VM(d.settings.VM)},
 		Recorder: d.recorder,
 		Peers:    innerproto.NewEventsClient(innerproto.StampedTransport(d.recorder, http.DefaultTransport)),
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -28,5 +28,6 @@
 	mux.Handle("/", innerproto.ForwardHandler(d.pipeline))
 	mux.Handle(innerproto.QuotaPathPrefix, innerproto.QuotaHandler(d.quota))
 	mux.Handle(innerproto.EventsPath, innerproto.EventsHandler(d.recorder))
+	mux.Handle(innerproto.RegistryPath, d.registry.handler())
 	return innerproto.WithStamps(d.recorder, mux)
 }
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -121,6 +121,9 @@
 // Members is the newest set of replicas in the log.
 func (c *Core) Members() Members { return c.log.members() }
 
+// SnapshotIndex is the index of the newest snapshot.
+func (c *Core) SnapshotIndex() Index { return c.log.snapshot.Index }
+
 // Term is the present term.
 func (c *Core) Term() Term { return c.term }
 
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -1,7 +1,6 @@
 package raft
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/comfreynotch/comfreynotch/internal/core"
@@ -52,7 +51,6 @@
 	if c.log.membersIndex() > c.commit || !c.log.matches(c.commit, c.term) {
 		return 0, 0, ErrChangePending
 	}
-	slices.SortFunc(next, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
-	c.appendOwn(Entry{Kind: EntryMembers, Members: next})
+	c.appendOwn(Entry{Kind: EntryMembers, Members: next.Sorted()})
 	return c.log.last(), c.term, nil
 }
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -7,6 +7,7 @@
 package raft
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 
@@ -38,6 +39,11 @@
 	return m[i], true
 }
 
+// Sorted returns the members in the order of their VMs.
+func (m Members) Sorted() Members {
+	return slices.SortedFunc(slices.Values(m), func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
+}
+
 // IsVoter reports whether a VM counts in majorities.
 func (m Members) IsVoter(vm core.VM) bool {
 	member, ok := m.Find(vm)
--- a/internal/registry/task.go
+++ b/internal/registry/task.go
@@ -1,72 +1,154 @@
-// Package registry holds the accepted configuration and orders its changes.
-// Task: task.go, one goroutine that owns the state and publishes it.
+// Package registry replicates the accepted configuration over a few voters and
+// orders its changes. Decisions: machine.go and pending.go, and package raft.
+// Tasks: task.go is the interface of the task that owns raft core, storage and
+// state machine, task_replica.go its loop, task_peer.go a task for each other
+// member, task_propose.go what runs on a caller's goroutine.
 package registry
 
 import (
 	"context"
+	"fmt"
+	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/configsync"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/raft"
+	"github.com/comfreynotch/comfreynotch/internal/storage"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
 
-const mailboxSize = 256
+const (
+	mailboxSize = 4096
+	tickPeriod  = 100 * time.Millisecond
 
-type proposal struct {
-	command config.Command
-	reply   task.Reply[answer]
+	electionTicks  = 10 // 1 s to 2 s without a leader start an election
+	heartbeatTicks = 3
+	refreshTicks   = 10 // between proofs that this replica is up to date
+	maxEntries     = 512
+
+	snapshotEvery = 8192 // entries, by default
+)
+
+// Transport carries messages and questions to other members.
+type Transport interface {
+	// Send delivers raft messages in order, or loses them.
+	Send(ctx context.Context, to raft.Member, messages []raft.Message) error
+	// Propose asks the leader at a member for one command.
+	Propose(ctx context.Context, to raft.Member, command []byte) (core.Version, error)
+	// ChangeMember asks the leader at a member for one change.
+	ChangeMember(ctx context.Context, to raft.Member, change MemberChange) error
 }
 
-type answer struct {
-	state *config.State
-	err   error
+// Options are the parts of a Task.
+type Options struct {
+	Self      core.VM
+	Members   raft.Members      // first members, used while the storage is empty; empty on one that joins
+	Bootstrap *config.Bootstrap // first change, proposed while there is none; may be nil
+	Files     storage.Files
+	Codec     configsync.Codec
+	Transport Transport
+	Snapshots int                      // entries between two snapshots; 0: 8192
+	Seed      uint64                   // of the election timeouts, different on each voter
+	Changed   func(configsync.Update)  // called from the task's goroutine; must not wait
+	Report    func(event, text string) // of leaders and members, for the log; must not wait
 }
 
-// Task owns the accepted configuration.
+// Task owns one replica of the registry.
 type Task struct {
-	mailbox task.Mailbox[proposal]
+	options Options
+	mailbox task.Mailbox[message]
 	state   task.Snapshot[config.State]
-	changed func(*config.State)
+	opened  *opened // by NewTask, for the first run
 }
 
-// NewTask returns a task with the given first state. It calls changed, from its
-// own goroutine, with each new state; changed must not wait.
-func NewTask(initial *config.State, changed func(*config.State)) *Task {
-	return &Task{
-		mailbox: task.NewMailbox[proposal]("registry", mailboxSize),
-		state:   task.NewSnapshot(initial),
-		changed: changed,
-	}
+type opened struct {
+	store  *storage.Store
+	stored raft.Stored
 }
 
-// State publishes the state in force.
-func (t *Task) State() task.Snapshot[config.State] { return t.state }
-
-// Propose asks for a change and returns the state in force after it.
-func (t *Task) Propose(ctx context.Context, c config.Command) (*config.State, error) {
-	a, err := task.Ask(ctx, t.mailbox, func(r task.Reply[answer]) proposal { return proposal{c, r} })
+// NewTask opens the storage and returns a task that is not running yet.
+// Damaged storage is result.StorageCorrupt.
+func NewTask(o Options) (*Task, error) {
+	if o.Snapshots == 0 {
+		o.Snapshots = snapshotEvery
+	}
+	first, err := openStorage(o)
 	if err != nil {
 		return nil, err
 	}
-	return a.state, a.err
+	return &Task{
+		options: o,
+		mailbox: task.NewMailbox[message]("registry", mailboxSize),
+		state:   task.NewSnapshot(config.NewState()),
+		opened:  first,
+	}, nil
 }
 
-// Serve runs the task until ctx ends.
-func (t *Task) Serve(ctx context.Context) error {
-	t.changed(t.state.Load())
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case p := <-t.mailbox.C():
-			next, err := t.state.Load().Apply(p.command)
-			if err == nil {
-				t.state.Publish(next)
-				t.changed(next)
-			}
-			p.reply.Answer(answer{next, err})
+// openStorage opens the storage. An empty one is given the first members: from
+// then on the settings' list of voters has no effect.
+func openStorage(o Options) (*opened, error) {
+	store, stored, err := storage.Open(o.Files)
+	if err != nil {
+		return nil, err
+	}
+	empty := stored.HardState == (raft.HardState{}) && len(stored.Entries) == 0 &&
+		stored.Snapshot.Index == 0 && len(stored.Snapshot.Members) == 0
+	if empty && len(o.Members) > 0 {
+		stored.Snapshot.Members = o.Members
+		if err := store.Replace(stored.Snapshot, nil); err != nil {
+			return nil, fmt.Errorf("store the first members: %w", err)
 		}
 	}
+	return &opened{store, stored}, nil
 }
 
-// Current returns the state in force.
+// State publishes the newest state that was once proved to be the newest.
+func (t *Task) State() task.Snapshot[config.State] { return t.state }
+
+// Current returns the state that State publishes.
 func (t *Task) Current() *config.State { return t.state.Load() }
+
+// Deliver hands over messages from another member. What does not fit into the
+// mailbox is lost, as on the network.
+func (t *Task) Deliver(from raft.Member, messages []raft.Message) {
+	_ = t.mailbox.Post(inbound{from, messages})
+}
+
+// Status returns what this replica knows of the registry.
+func (t *Task) Status(ctx context.Context) (raft.Status, error) {
+	return task.Ask(ctx, t.mailbox, func(r task.Reply[raft.Status]) message { return statusQuestion{r} })
+}
+
+// message is one of the messages to the task.
+type message interface{ isMessage() }
+
+type (
+	inbound struct {
+		from     raft.Member
+		messages []raft.Message
+	}
+	proposal struct {
+		command []byte
+		reply   task.Reply[answer]
+	}
+	memberProposal struct {
+		change MemberChange
+		reply  task.Reply[answer]
+	}
+	readQuestion   struct{ reply task.Reply[answer] }
+	statusQuestion struct{ reply task.Reply[raft.Status] }
+)
+
+func (inbound) isMessage()        {}
+func (proposal) isMessage()       {}
+func (memberProposal) isMessage() {}
+func (readQuestion) isMessage()   {}
+func (statusQuestion) isMessage() {}
+
+// answer is the answer to a proposal or a read.
+type answer struct {
+	version core.Version
+	err     error
+	leader  raft.Member // set with err, if another member leads: ask there
+}
--- /dev/null
+++ b/internal/registry/task_peer.go
@@ -0,0 +1,110 @@
+package registry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/raft"
+	"github.com/comfreynotch/comfreynotch/internal/task"
+)
+
+const (
+	peerMailboxSize = 256
+	maxSendBatch    = 64 // messages in one call
+	sendTimeout     = 500 * time.Millisecond
+	snapshotTimeout = 10 * time.Second
+)
+
+// peer is the task that sends to one other member, so that a member that hangs
+// holds up no other. What it can't send in time is lost; raft sends again.
+type peer struct {
+	member    raft.Member
+	transport Transport
+	mailbox   task.Mailbox[raft.Message]
+	stop      context.CancelFunc
+	done      chan struct{}
+}
+
+func startPeer(ctx context.Context, m raft.Member, t Transport) *peer {
+	ctx, cancel := context.WithCancel(ctx)
+	p := &peer{
+		member: m, transport: t, stop: cancel, done: make(chan struct{}),
+		mailbox: task.NewMailbox[raft.Message]("registry member "+string(m.VM), peerMailboxSize),
+	}
+	go func() {
+		defer close(p.done)
+		p.serve(ctx)
+	}()
+	return p
+}
+
+func (p *peer) serve(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-p.mailbox.C():
+			p.send(ctx, p.collect(m))
+		}
+	}
+}
+
+func (p *peer) collect(m raft.Message) []raft.Message {
+	batch := []raft.Message{m}
+	for len(batch) < maxSendBatch {
+		select {
+		case m = <-p.mailbox.C():
+			batch = append(batch, m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (p *peer) send(ctx context.Context, batch []raft.Message) {
+	timeout := sendTimeout
+	for _, m := range batch {
+		if m.Type == raft.InstallSnap {
+			timeout = snapshotTimeout
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	_ = p.transport.Send(ctx, p.member, batch)
+}
+
+// syncPeers starts a task for each new member and ends those of former ones.
+func (r *replica) syncPeers(ctx context.Context) {
+	members := r.core.Members()
+	if _, ok := members.Find(r.contact.VM); !ok && r.contact.VM != "" {
+		members = append(slices.Clone(members), r.contact)
+	}
+	for vm, p := range r.peers {
+		if m, ok := members.Find(vm); !ok || m.Address != p.member.Address {
+			p.stop()
+			delete(r.peers, vm)
+		}
+	}
+	for _, m := range members {
+		if m.VM != r.options.Self && r.peers[m.VM] == nil {
+			r.peers[m.VM] = startPeer(ctx, m, r.options.Transport)
+		}
+	}
+}
+
+func (r *replica) send(messages []raft.Message) {
+	for _, m := range messages {
+		if p := r.peers[m.To]; p != nil {
+			_ = p.mailbox.Post(m)
+		}
+	}
+}
+
+func (r *replica) stopPeers(cancel context.CancelFunc) {
+	cancel()
+	for _, p := range r.peers {
+		<-p.done
+	}
+}
