Log through a task, count on an own registry, start by flags and environment

Cause: a line that repeats could fill a disk, metrics stood on the global registry without names of their own, and a start could not be checked.

Change: one task owns the log's writer. Of lines that are alike it writes ten a second and then their count; logging never waits. Failed requests are logged with result code, class and request id. Metrics have their own registry and a table in docs/METRICS.md that a test compares with what is served. /healthz and /readyz stand apart. The recorder derives from each new configuration what changed (data centres, withdrawn keys, moved homes) with the version as cause. comfreynotchd takes flags before environment before file before default; -check checks and exits; bad input gives one line, exit code 2 and nothing started; the first start makes the operators' token, shows it once and stores its hash.

Conclusion: a daemon can be checked, started, watched and read after the fact.

--- a/cmd/comfreynotchd/main.go
+++ b/cmd/comfreynotchd/main.go
@@ -6,61 +6,90 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/peterbourgon/ff/v3"
-
 	"github.com/comfreynotch/comfreynotch/internal/daemon"
+	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/telemetry"
 )
 
+// Exit codes; docs/RESULT-CODES.md lists them.
 const (
+	exitOK      = 0
 	exitFailure = 1
 	exitMisuse  = 2
 )
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
 
-func run(args []string) int {
-	fs := flag.NewFlagSet("comfreynotchd", flag.ContinueOnError)
-	path := fs.String("settings", "", "JSON settings file; without one, a single daemon on loopback")
-	check := fs.Bool("check", false, "check the settings and exit")
-	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("COMFREYNOTCHD")); err != nil {
-		if errors.Is(err, flag.ErrHelp) {
-			return 0
-		}
-		fmt.Fprintln(os.Stderr, "comfreynotchd:", err)
+// run starts the daemon that args describe and serves until ctx ends. Only a
+// new operators' token goes to stdout.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	o, err := parseOptions(args, stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	}
+	if err == nil {
+		err = o.settings.Check()
+	}
+	if err == nil {
+		err = o.settings.CheckFiles()
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "comfreynotchd:", err)
 		return exitMisuse
 	}
-	s := settings.Default()
-	if *path != "" {
-		loaded, err := settings.Load(*path)
-		if err != nil {
-			fmt.Fprintln(os.Stderr, "comfreynotchd:", err)
-			return exitMisuse
-		}
-		s = loaded
+	if o.check {
+		fmt.Fprintln(stdout, "settings are valid")
+		return exitOK
 	}
-	if *check {
-		return 0
+	if err := makeToken(o.settings.Operators, stdout); err != nil {
+		fmt.Fprintln(stderr, "comfreynotchd:", err)
+		return exitFailure
 	}
-	return serve(s)
+	return serve(ctx, o.settings, stderr)
 }
 
-func serve(s *settings.Settings) int {
-	d, err := daemon.New(s, telemetry.NewLogger(os.Stderr, s.VM, s.LogLevel))
+// makeToken makes the operators' token of a first start and shows it.
+func makeToken(s settings.Operators, stdout io.Writer) error {
+	wanted := s.Auth == settings.AuthToken || s.Auth == settings.AuthEither
+	if !wanted || s.TokenHashFile == "" {
+		return nil
+	}
+	token, err := operators.CreateTokenFile(s.TokenHashFile)
+	if err != nil || token == "" {
+		return err
+	}
+	_, err = fmt.Fprintf(stdout, "operators' token, shown this once: %s\n", token)
+	return err
+}
+
+func serve(ctx context.Context, s *settings.Settings, stderr io.Writer) int {
+	metrics := telemetry.NewMetrics()
+	logs := telemetry.NewLogTask(stderr, s.VM, s.LogLevel, metrics.LogLineDropped)
+	d, err := daemon.NewWithMetrics(s, logs.Logger(), metrics)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "comfreynotchd:", err)
+		fmt.Fprintln(stderr, "comfreynotchd:", err)
 		return exitMisuse
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := d.Run(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "comfreynotchd:", err)
+	logCtx, endLog := context.WithCancel(context.WithoutCancel(ctx))
+	logged := make(chan error, 1)
+	go func() { logged <- logs.Serve(logCtx) }()
+	err = d.Run(ctx)
+	endLog()
+	<-logged // the log's last lines are written
+	if err != nil {
+		fmt.Fprintln(stderr, "comfreynotchd:", err)
 		return exitFailure
 	}
-	return 0
+	return exitOK
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/task"
+	"github.com/comfreynotch/comfreynotch/internal/telemetry"
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
 	"github.com/comfreynotch/comfreynotch/internal/upstream"
 )
@@ -41,11 +42,17 @@
 	dispatch   *dispatch.Task
 	quota      *quota.Task
 	policy     operators.Policy
+	metrics    *telemetry.Metrics
 	pipeline   *serve.Server
 }
 
-// New checks the settings, binds every listener and assembles the tasks.
+// New binds every listener and assembles the tasks, with metrics of its own.
 func New(s *settings.Settings, logger log.Logger) (*Daemon, error) {
+	return NewWithMetrics(s, logger, telemetry.NewMetrics())
+}
+
+// NewWithMetrics is New for a caller that counts on the same metrics.
+func NewWithMetrics(s *settings.Settings, logger log.Logger, metrics *telemetry.Metrics) (*Daemon, error) {
 	bound, err := bind(s.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("bind listeners: %w", err)
@@ -61,7 +68,7 @@
 		return nil, err
 	}
 	self := core.VM(s.VM)
-	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s), policy: policy}
+	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s, metrics.EventDropped), policy: policy, metrics: metrics}
 	d.dispatch = dispatch.NewTask(self)
 	d.quota = quota.NewTask()
 	d.cell = cell.NewTask(self, core.Cell(s.Cell), d.dispatch.TableChanged)
@@ -78,13 +85,14 @@
 		Sender:    upstream.New(),
 		Forwarder: innerproto.NewForwarder(),
 	}
+	d.metrics.Observe(d.view)
 	d.supervise()
 	return d, nil
 }
 
 // configChanged hands an accepted state to the tasks that act on it.
 func (d *Daemon) configChanged(s *config.State) {
-	d.recordConfiguration(s)
+	d.recorder.ConfigurationChanged(s)
 	d.quota.ConfigChanged(s)
 	d.dispatch.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
@@ -92,6 +100,8 @@
 
 func (d *Daemon) supervise() {
 	d.root = task.NewSupervisor("comfreynotchd", func(event string) {
+		d.metrics.TaskEvent()
+		d.recorder.Record(timeline.Event{Kind: timeline.TaskRestarted, Detail: event})
 		_ = level.Warn(d.logger).Log("msg", "task event", "event", event)
 	})
 	d.root.Add(d.recorder)
@@ -107,6 +117,7 @@
 
 // Run serves until ctx ends.
 func (d *Daemon) Run(ctx context.Context) error {
+	d.recorder.Record(timeline.Event{Kind: timeline.Started})
 	_ = level.Info(d.logger).Log("msg", "serving", "callers", d.CallersAddress(), "operators", d.OperatorsAddress())
 	err := d.root.Serve(ctx)
 	if ctx.Err() != nil {
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -7,10 +7,7 @@
 	"net/http"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus/promhttp"
-
 	"github.com/comfreynotch/comfreynotch/internal/announce"
-	"github.com/comfreynotch/comfreynotch/internal/gateway"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
 
@@ -23,11 +20,11 @@
 // servers returns one supervised task for each listener.
 func (d *Daemon) servers() []task.Service {
 	return []task.Service{
-		httpTask("callers", d.listeners.callers, gateway.New(d.registry.State(), d.pipeline)),
+		httpTask("callers", d.listeners.callers, d.callersHandler()),
 		httpTask("targets", d.listeners.targets, announce.Handler(d.membership)),
 		httpTask("inner", d.listeners.inner, d.innerHandler()),
 		httpTask("operators", d.listeners.operators, d.operatorsHandler()),
-		httpTask("metrics", d.listeners.metrics, promhttp.Handler()),
+		httpTask("metrics", d.listeners.metrics, d.metricsHandler()),
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/telemetry.go
@@ -0,0 +1,101 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/exchange"
+	"github.com/comfreynotch/comfreynotch/internal/gateway"
+	"github.com/comfreynotch/comfreynotch/internal/health"
+	"github.com/comfreynotch/comfreynotch/internal/result"
+	"github.com/comfreynotch/comfreynotch/internal/telemetry"
+	"github.com/comfreynotch/comfreynotch/internal/timeline"
+)
+
+// metricsHandler serves metrics, liveness and readiness.
+func (d *Daemon) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(d.metrics.Registry(), promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("alive\n"))
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		reason, ready := health.Ready(d.view())
+		if !ready {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n"))
+	})
+	return mux
+}
+
+// callersHandler counts the requests of callers and logs those that failed. It
+// takes the outcome from the header of the answer.
+func (d *Daemon) callersHandler() http.Handler {
+	next := gateway.New(d.registry.State(), countedPipeline{d.pipeline, d.metrics, d.recorder})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began, code := time.Now(), result.ConnectionLost // the code of an answer that breaks off
+		defer func() { d.requestEnded(w.Header(), d.serviceLabel(r.URL.Path), code, time.Since(began)) }()
+		next.ServeHTTP(w, r)
+		code = codeFromHeader(w.Header())
+	})
+}
+
+func codeFromHeader(h http.Header) result.Code {
+	n, err := strconv.ParseUint(h.Get(gateway.HeaderResultCode), 10, 16)
+	if err != nil {
+		return result.Internal
+	}
+	return result.Code(n)
+}
+
+// serviceLabel returns the service that a path names if the configuration has it.
+func (d *Daemon) serviceLabel(path string) string {
+	name, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	if _, ok := d.registry.Current().Services[core.Service(name)]; ok {
+		return name
+	}
+	return telemetry.UnknownService
+}
+
+func (d *Daemon) requestEnded(h http.Header, service string, code result.Code, took time.Duration) {
+	d.metrics.Request(service, code, took)
+	if code == result.OK {
+		return
+	}
+	leveled := level.Info(d.logger)
+	if code.Info().Ran == result.MayHaveRun {
+		leveled = level.Warn(d.logger)
+	}
+	_ = leveled.Log("msg", "request failed", "code", uint16(code), "result", code.String(), "ran", h.Get(gateway.HeaderRan),
+		"request_id", h.Get(gateway.HeaderRequestID), "service", service, "ms", took.Milliseconds())
+}
+
+// countedPipeline counts authenticated requests by workspace and reports
+// refusals to the time line.
+type countedPipeline struct {
+	next     gateway.Pipeline
+	metrics  *telemetry.Metrics
+	recorder *timeline.Recorder
+}
+
+// Serve implements gateway.Pipeline.
+func (p countedPipeline) Serve(ctx context.Context, r *exchange.Request) (*exchange.Answer, error) {
+	answer, err := p.next.Serve(ctx, r)
+	if err == nil {
+		p.metrics.WorkspaceRequest(r.Workspace, result.HasRun)
+		return answer, nil
+	}
+	e := result.From(err)
+	p.metrics.WorkspaceRequest(r.Workspace, e.Ran)
+	p.recorder.Refused(timeline.Refusal{Code: e.Code, Service: r.Service, Workspace: r.Workspace})
+	return nil, err
+}
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -3,22 +3,14 @@
 import (
 	"net/http"
 
-	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
 )
 
-func newRecorder(s *settings.Settings) *timeline.Recorder {
-	return timeline.NewRecorder(core.VM(s.VM), core.DataCentre(s.DataCentre), func() {})
-}
-
-// recordConfiguration records that a configuration came into force here.
-func (d *Daemon) recordConfiguration(s *config.State) {
-	d.recorder.Record(timeline.Event{
-		Kind: timeline.ConfigurationChanged, Version: s.Version, Ref: timeline.VersionRef(s.Version),
-	})
+func newRecorder(s *settings.Settings, dropped func()) *timeline.Recorder {
+	return timeline.NewRecorder(core.VM(s.VM), core.DataCentre(s.DataCentre), dropped)
 }
 
 // innerHandler serves other daemons: forwards, and the other calls of the inner
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"reflect"
 	"regexp"
 	"slices"
@@ -176,3 +177,20 @@
 	}
 	return nil
 }
+
+// CheckFiles holds that the files which the settings name are there.
+func (s *Settings) CheckFiles() error {
+	for path, t := range map[string]TLS{"inner_tls": s.InnerTLS, "operators_tls": s.OperatorsTLS} {
+		v := reflect.ValueOf(t)
+		for _, f := range fieldsOf(v.Type()) {
+			name := v.Field(f.index).String()
+			if f.form != "path" || name == "" {
+				continue
+			}
+			if info, err := os.Stat(name); err != nil || info.IsDir() {
+				return result.New(result.SettingsInvalid, "settings: field %s.%s: want a file that exists, not %q", path, f.name, name)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,119 @@
+package telemetry
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/health"
+	"github.com/comfreynotch/comfreynotch/internal/result"
+)
+
+const namespace = "comfreynotch"
+
+// UnknownService is the service label of requests for services that the
+// configuration does not have.
+const UnknownService = "unknown"
+
+// durationBuckets are the upper bounds of request times in seconds.
+var durationBuckets = []float64{
+	0.0005, 0.001, 0.002, 0.004, 0.008, 0.013, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10,
+}
+
+// Metrics are the metrics of one daemon. docs/METRICS.md lists them. Labels take
+// only names of the configuration and result codes.
+type Metrics struct {
+	registry        *prometheus.Registry
+	requests        *prometheus.CounterVec
+	durations       *prometheus.HistogramVec
+	workspaces      *prometheus.CounterVec
+	taskEvents      prometheus.Counter
+	droppedEvents   prometheus.Counter
+	droppedLogLines prometheus.Counter
+}
+
+// NewMetrics returns metrics on a registry of their own.
+func NewMetrics() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "requests_total", Help: "Callers' requests by service and result code.",
+		}, []string{"service", "code"}),
+		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "request_duration_seconds",
+			Help: "Time from a request's first byte to its answer's last.", Buckets: durationBuckets,
+		}, []string{"service"}),
+		workspaces: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "workspace_requests_total",
+			Help: "Authenticated requests by workspace and whether they ran.",
+		}, []string{"workspace", "ran"}),
+		taskEvents:      counter("task_events_total", "Failures and restarts of tasks that the supervisor reported."),
+		droppedEvents:   counter("timeline_dropped_total", "Events that found the recorder's mailbox full."),
+		droppedLogLines: counter("log_lines_dropped_total", "Log lines that found the log's mailbox full."),
+	}
+	m.registry.MustRegister(
+		m.requests, m.durations, m.workspaces, m.taskEvents, m.droppedEvents, m.droppedLogLines,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return m
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+}
+
+// Registry holds the metrics; concerns' edges register their own on it.
+func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
+
+// Request counts one caller's request. service is a name of the configuration or
+// UnknownService.
+func (m *Metrics) Request(service string, code result.Code, d time.Duration) {
+	m.requests.WithLabelValues(service, code.String()).Inc()
+	m.durations.WithLabelValues(service).Observe(d.Seconds())
+}
+
+// WorkspaceRequest counts one authenticated request.
+func (m *Metrics) WorkspaceRequest(w core.Workspace, ran result.Ran) {
+	m.workspaces.WithLabelValues(string(w), ran.String()).Inc()
+}
+
+// TaskEvent counts one report of the supervisor.
+func (m *Metrics) TaskEvent() { m.taskEvents.Inc() }
+
+// EventDropped counts one event that was not recorded.
+func (m *Metrics) EventDropped() { m.droppedEvents.Inc() }
+
+// LogLineDropped counts one line that was not logged.
+func (m *Metrics) LogLineDropped() { m.droppedLogLines.Inc() }
+
+// Observe registers gauges of what view sees at each scrape.
+func (m *Metrics) Observe(view func() health.View) {
+	gauge := func(name, help string, value func(health.View) float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: name, Help: help,
+		}, func() float64 { return value(view()) }))
+	}
+	gauge("configuration_version", "Version of the configuration in force here.",
+		func(v health.View) float64 { return float64(v.State.Version) })
+	gauge("ready", "1 if this daemon should get new requests.",
+		func(v health.View) float64 { _, ready := health.Ready(v); return oneIf(ready) })
+	gauge("member_lease_live", "1 if this daemon may send to targets.",
+		func(v health.View) float64 { return oneIf(v.LeaseLive) })
+	gauge("coordinator", "1 if this daemon coordinates its cell.",
+		func(v health.View) float64 { return oneIf(v.Coordinator == v.Self) })
+	gauge("registry_leader_known", "1 if a leader of the registry is known.",
+		func(v health.View) float64 { return oneIf(v.LeaderKnown) })
+	gauge("targets", "Targets of this cell.",
+		func(v health.View) float64 { return float64(len(v.Table.Targets)) })
+	gauge("problems", "Problems that status names.",
+		func(v health.View) float64 { return float64(len(health.Problems(v))) })
+}
+
+func oneIf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,105 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/matryer/is"
+
+	"github.com/comfreynotch/comfreynotch/internal/cell"
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/health"
+	"github.com/comfreynotch/comfreynotch/internal/result"
+)
+
+// TestRepeatedLinesAreLimited holds that a line which repeats costs no more than
+// its first ones and one count, and that no line is lost at the end.
+func TestRepeatedLinesAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		task := NewLogTask(&out, "vm-1", "info", func() { t.Error("dropped") })
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- task.Serve(ctx) }()
+		for range 100 {
+			is.NoErr(level.Warn(task.Logger()).Log("msg", "refused", "code", 304, "request_id", "r"))
+			is.NoErr(level.Debug(task.Logger()).Log("msg", "below the level"))
+		}
+		is.NoErr(level.Info(task.Logger()).Log("msg", "other"))
+		time.Sleep(limitPeriod + time.Millisecond)
+		is.NoErr(level.Info(task.Logger()).Log("msg", "last"))
+		cancel()
+		<-done
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		is.Equal(len(lines), linesInPeriod+3) // refused, other, their count, last
+		var count struct {
+			Msg, Of, Level string
+			Count          int
+		}
+		is.NoErr(json.Unmarshal([]byte(lines[linesInPeriod+1]), &count))
+		is.Equal(count.Of, "refused")
+		is.Equal(count.Level, "warn")
+		is.Equal(count.Count, 100-linesInPeriod)
+		var last map[string]any
+		is.NoErr(json.Unmarshal([]byte(lines[len(lines)-1]), &last))
+		is.Equal(last["msg"], "last")
+		is.Equal(last["vm"], "vm-1")
+	})
+}
+
+// TestLoggingNeverWaits holds that a log nobody writes costs its callers no time.
+func TestLoggingNeverWaits(t *testing.T) {
+	is := is.New(t)
+	dropped := 0
+	task := NewLogTask(&bytes.Buffer{}, "vm-1", "info", func() { dropped++ })
+	for range logMailboxSize + 3 {
+		is.NoErr(task.Logger().Log("msg", "x"))
+	}
+	is.Equal(dropped, 3)
+}
+
+// TestMetricsAreDocumented holds that docs/METRICS.md lists exactly the metrics
+// that a daemon serves, with their labels.
+func TestMetricsAreDocumented(t *testing.T) {
+	is := is.New(t)
+	m := NewMetrics()
+	m.Request("archivio", result.RateExceeded, time.Millisecond)
+	m.WorkspaceRequest("lab", result.NotRun)
+	m.Observe(func() health.View {
+		return health.View{State: config.NewState(), Table: cell.NewTable("padana-a")}
+	})
+	families, err := m.Registry().Gather()
+	is.NoErr(err)
+	var served []string
+	for _, f := range families {
+		if !strings.HasPrefix(f.GetName(), namespace) {
+			continue
+		}
+		row := f.GetName() + " " + strings.ToLower(f.GetType().String())
+		for _, l := range f.GetMetric()[0].GetLabel() {
+			row += " " + l.GetName()
+		}
+		served = append(served, row)
+	}
+	doc, err := os.ReadFile(filepath.Join("..", "..", "docs", "METRICS.md"))
+	is.NoErr(err)
+	var documented []string
+	for _, match := range regexp.MustCompile("(?m)^\\| `(comfreynotch_\\w+)` \\| (\\w+) \\|([^|]*)\\|").FindAllStringSubmatch(string(doc), -1) {
+		labels := regexp.MustCompile(`\w+`).FindAllString(match[3], -1)
+		slices.Sort(labels)
+		documented = append(documented, strings.Join(append([]string{match[1], match[2]}, labels...), " "))
+	}
+	slices.Sort(documented)
+	is.Equal(documented, served)
+}
--- a/internal/timeline/task_recorder.go
+++ b/internal/timeline/task_recorder.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
@@ -25,15 +26,18 @@
 
 type refused struct{ refusal Refusal }
 
+type configChanged struct{ state *config.State }
+
 type fetch struct {
 	query Query
 	reply task.Reply[[]Event]
 }
 
-func (record) isMessage()  {}
-func (observe) isMessage() {}
-func (refused) isMessage() {}
-func (fetch) isMessage()   {}
+func (record) isMessage()        {}
+func (observe) isMessage()       {}
+func (refused) isMessage()       {}
+func (configChanged) isMessage() {}
+func (fetch) isMessage()         {}
 
 // Recorder owns the events of one daemon and its hybrid logical clock.
 type Recorder struct {
@@ -43,6 +47,7 @@
 	mailbox    task.Mailbox[message]
 	stamp      task.Snapshot[Stamp]
 
+	state    *config.State // newest configuration recorded
 	clock    Clock
 	ring     *Ring
 	seq      uint64
@@ -78,6 +83,13 @@
 	}
 }
 
+// ConfigurationChanged records what follows from s coming into force.
+func (r *Recorder) ConfigurationChanged(s *config.State) {
+	if r.mailbox.Post(configChanged{s}) != nil {
+		r.dropped()
+	}
+}
+
 // Observe takes over the stamp of a peer's message.
 func (r *Recorder) Observe(s Stamp) { _ = r.mailbox.Post(observe{s}) }
 
@@ -121,6 +133,11 @@
 		if r.clock.Observe(m.stamp, time.Now()) {
 			r.publishStamp()
 		}
+	case configChanged:
+		for _, e := range ConfigurationEvents(r.state, m.state) {
+			r.store(e, time.Now())
+		}
+		r.state = m.state
 	case fetch:
 		m.reply.Answer(r.ring.Select(m.query))
 	}
