--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -18,6 +18,7 @@
 func (d *Daemon) innerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", innerproto.ForwardHandler(d.pipeline))
+	mux.Handle(innerproto.QuotaPathPrefix, innerproto.QuotaHandler(d.quota))
 	mux.Handle(innerproto.EventsPath, innerproto.EventsHandler(d.recorder))
 	return innerproto.WithStamps(d.recorder, mux)
 }
