Say where the daemon's command passes over a failed write

Cause: errcheck found writes to the terminal whose errors were dropped silently. Change: they are dropped in words; a failed write leaves only the exit code.

--- a/cmd/comfreynotchd/main.go
+++ b/cmd/comfreynotchd/main.go
@@ -45,15 +45,15 @@
 		err = o.settings.CheckFiles()
 	}
 	if err != nil {
-		fmt.Fprintln(stderr, "comfreynotchd:", err)
+		fail(stderr, err)
 		return exitMisuse
 	}
 	if o.check {
-		fmt.Fprintln(stdout, "settings are valid")
+		_, _ = fmt.Fprintln(stdout, "settings are valid")
 		return exitOK
 	}
 	if err := makeToken(o.settings.Operators, stdout); err != nil {
-		fmt.Fprintln(stderr, "comfreynotchd:", err)
+		fail(stderr, err)
 		return exitFailure
 	}
 	return serve(ctx, o.settings, stderr)
@@ -78,18 +78,24 @@
 	logs := telemetry.NewLogTask(stderr, s.VM, s.LogLevel, metrics.LogLineDropped)
 	d, err := daemon.NewWithMetrics(s, logs.Logger(), metrics)
 	if err != nil {
-		fmt.Fprintln(stderr, "comfreynotchd:", err)
+		fail(stderr, err)
 		return exitMisuse
 	}
 	logCtx, endLog := context.WithCancel(context.WithoutCancel(ctx))
-	logged := make(chan error, 1)
-	go func() { logged <- logs.Serve(logCtx) }()
+	logged := make(chan struct{})
+	go func() {
+		_ = logs.Serve(logCtx) // ends with logCtx alone
+		close(logged)
+	}()
 	err = d.Run(ctx)
 	endLog()
 	<-logged // the log's last lines are written
 	if err != nil {
-		fmt.Fprintln(stderr, "comfreynotchd:", err)
+		fail(stderr, err)
 		return exitFailure
 	}
 	return exitOK
 }
+
+// fail writes err as one line. A writer that fails leaves only the exit code.
+func fail(stderr io.Writer, err error) { _, _ = fmt.Fprintln(stderr, "comfreynotchd:", err) }
--- a/cmd/comfreynotchd/options.go
+++ b/cmd/comfreynotchd/options.go
@@ -68,7 +68,7 @@
 	}
 	if err := ff.Parse(fs, args, ff.WithEnvVarPrefix("COMFREYNOTCHD")); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
-			fmt.Fprint(stderr, usage)
+			_, _ = fmt.Fprint(stderr, usage)
 			fs.SetOutput(stderr)
 			fs.PrintDefaults()
 			return nil, flag.ErrHelp
