Give operators a command line for every call

Cause: the command had two read-only subcommands and one exit code.

Change: package cli has a subcommand for each call, grouped by subject, with help, examples, tables for a person and -json for a program. Exit codes tell refused from not known (3, 4) and both from a wrong command line (2) or no answer (1).

--- /dev/null
+++ b/internal/cli/cells.go
@@ -0,0 +1,146 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/comfreynotch/comfreynotch/api/operatorspb"
+)
+
+func (a *app) targetCommands() *ffcli.Command {
+	var service string
+	return a.group("target", "targets of a daemon's cell",
+		a.command(command{
+			name: "list", short: "list the targets of the daemon's cell",
+			flags: func(fs *flag.FlagSet) { fs.StringVar(&service, "service", "", "only this service's") },
+			exec: func(ctx context.Context, _ []string) error {
+				targets, err := call(ctx, a, func(ctx context.Context, ops operatorspb.Operators) (*operatorspb.Targets, error) {
+					return ops.ListTargets(ctx, &operatorspb.ListTargetsRequest{Service: service})
+				})
+				if err != nil {
+					return err
+				}
+				return a.show(targets, func(o *output) { targetTable(o, targets.GetTargets()) })
+			},
+		}),
+		a.drainCommand("drain", "end a target's new work; it finishes what it has", false),
+		a.drainCommand("undrain", "let a drained target have work again", true),
+	)
+}
+
+func targetTable(o *output, targets []*operatorspb.TargetStatus) {
+	var rows [][]any
+	for _, t := range targets {
+		state := "in"
+		if t.GetLeaving() {
+			state = "leaving"
+		}
+		rows = append(rows, []any{t.GetId(), t.GetService(), t.GetAddress(), t.GetDispatcher(), t.GetShards(), t.GetSlots(), state})
+	}
+	o.table("TARGET SERVICE ADDRESS DISPATCHER SHARDS SLOTS STATE", rows)
+}
+
+func (a *app) drainCommand(name, short string, undo bool) *ffcli.Command {
+	return a.command(command{
+		name: name, arguments: "TARGET", short: short, want: 1, changes: true,
+		exec: func(ctx context.Context, args []string) error {
+			return a.change(ctx, func(ctx context.Context, ops operatorspb.Operators, c *operatorspb.Change) (*operatorspb.ChangeAnswer, error) {
+				return ops.DrainTarget(ctx, &operatorspb.DrainTargetRequest{Change: c, Target: args[0], Undo: undo})
+			})
+		},
+	})
+}
+
+func (a *app) hotKeyCommands() *ffcli.Command {
+	r := &operatorspb.PinKeyRequest{}
+	service := func(fs *flag.FlagSet) { fs.StringVar(&r.Service, "service", "", "service of the key") }
+	pin := func(ctx context.Context) error {
+		return a.change(ctx, func(ctx context.Context, ops operatorspb.Operators, c *operatorspb.Change) (*operatorspb.ChangeAnswer, error) {
+			r.Change = c
+			return ops.PinKey(ctx, r)
+		})
+	}
+	return a.group("hot-key", "keys that get many requests",
+		a.command(command{
+			name: "list", short: "list a service's hottest keys", flags: service,
+			exec: func(ctx context.Context, _ []string) error { return a.listHotKeys(ctx, r.GetService()) },
+		}),
+		a.command(command{
+			name: "pin", arguments: "KEY TARGET", short: "give one key a target of its own", want: 2, changes: true, flags: service,
+			exec: func(ctx context.Context, args []string) error {
+				r.Key, r.Target = args[0], args[1]
+				return pin(ctx)
+			},
+		}),
+		a.command(command{
+			name: "unpin", arguments: "KEY", short: "let a key go with its shard again", want: 1, changes: true, flags: service,
+			exec: func(ctx context.Context, args []string) error {
+				r.Key, r.Undo = args[0], true
+				return pin(ctx)
+			},
+		}),
+	)
+}
+
+func (a *app) listHotKeys(ctx context.Context, service string) error {
+	keys, err := call(ctx, a, func(ctx context.Context, ops operatorspb.Operators) (*operatorspb.HotKeys, error) {
+		return ops.ListHotKeys(ctx, &operatorspb.ListHotKeysRequest{Service: service})
+	})
+	if err != nil {
+		return err
+	}
+	return a.show(keys, func(o *output) {
+		var rows [][]any
+		for _, k := range keys.GetKeys() {
+			rows = append(rows, []any{k.GetKey(), fmt.Sprintf("%.1f", k.GetRate()), k.GetTarget(), k.GetPinned()})
+		}
+		o.table("KEY RATE/S TARGET PINNED", rows)
+	})
+}
+
+func (a *app) assignmentCommands() *ffcli.Command {
+	r := &operatorspb.AssignRequest{}
+	var shard uint
+	service := func(fs *flag.FlagSet) { fs.StringVar(&r.Service, "service", "", "keyed service") }
+	return a.group("assignment", "owners of shards",
+		a.command(command{
+			name: "list", short: "list the owners that the daemon's cell knows", flags: service,
+			exec: func(ctx context.Context, _ []string) error { return a.listAssignments(ctx, r.GetService()) },
+		}),
+		a.command(command{
+			name: "assign", arguments: "TARGET", short: "give a shard to a target", want: 1, changes: true,
+			help: "EXAMPLE\n  comfreynotch assignment assign -service archivio -key batch-7 t3",
+			flags: func(fs *flag.FlagSet) {
+				service(fs)
+				fs.StringVar(&r.Key, "key", "", "the shard that holds this key")
+				fs.UintVar(&shard, "shard", 0, "the shard, if -key is not given")
+			},
+			exec: func(ctx context.Context, args []string) error {
+				r.Target, r.Shard = args[0], uint32(min(shard, 1<<32-1))
+				return a.change(ctx, func(ctx context.Context, ops operatorspb.Operators, c *operatorspb.Change) (*operatorspb.ChangeAnswer, error) {
+					r.Change = c
+					return ops.Assign(ctx, r)
+				})
+			},
+		}),
+	)
+}
+
+func (a *app) listAssignments(ctx context.Context, service string) error {
+	answer, err := call(ctx, a, func(ctx context.Context, ops operatorspb.Operators) (*operatorspb.Assignments, error) {
+		return ops.ListAssignments(ctx, &operatorspb.ListAssignmentsRequest{Service: service})
+	})
+	if err != nil {
+		return err
+	}
+	return a.show(answer, func(o *output) {
+		var rows [][]any
+		for _, r := range answer.GetAssignments() {
+			rows = append(rows, []any{fmt.Sprintf("%d-%d", r.GetFirstShard(), r.GetLastShard()), r.GetTarget(), r.GetFence(), r.GetHomeCell()})
+		}
+		o.table("SHARDS TARGET FENCE HOME", rows)
+	})
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -209,3 +209,25 @@
 	}
 	return From(err).Code
 }
+
+// Exit codes of the commands, beside 0.
+const (
+	ExitNoAnswer   = 1 // no result code came back: a change may be in force
+	ExitMisuse     = 2 // the command line or the settings are wrong; nothing started
+	ExitNotRun     = 3 // refused, nothing changed
+	ExitMayHaveRun = 4 // not known whether it changed anything
+)
+
+// ExitCode is the exit code of a command that ended with c.
+func (c Code) ExitCode() int {
+	switch {
+	case c == OK:
+		return 0
+	case c == SettingsInvalid, c == CommandLineMisuse:
+		return ExitMisuse
+	case c.Info().Ran == NotRun:
+		return ExitNotRun
+	default:
+		return ExitMayHaveRun
+	}
+}
--- a/internal/shape/shape_test.go
+++ b/internal/shape/shape_test.go
@@ -19,7 +19,7 @@
 var edges = map[string]bool{
 	"task": true, "innerproto": true, "innerpb": true, "gateway": true, "upstream": true,
 	"announce": true, "operators": true, "daemon": true, "telemetry": true, "settings": true,
-	"storage": true, "serve": true, "security": true, "shape": true,
+	"storage": true, "serve": true, "security": true, "shape": true, "cli": true,
 }
 
 // TestDecisionsHaveNoGoroutine holds the shape: state is owned by tasks, and
