Elect a cell's coordinator without a disk

A cell needs one writer of its table, and its VMs have no disk to remember votes. The election follows PaxosLease: a quorum promises a ballot and then accepts a lease that the holder counts from before it asked. While a change of the member set is open a quorum needs a majority of both sets.

--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,116 @@
+// Package lease elects the coordinator of a cell without a disk, by the
+// published rules of PaxosLease (Trencseni, Gazso, Reinhardt: "PaxosLease:
+// Diskless Paxos for Leases"): a proposer prepares a ballot at a quorum, and
+// proposes itself when no acceptor of the quorum holds another's live lease.
+// It is a decisions layer only: lease.go holds the messages, acceptor.go the
+// votes of one member, elector.go its candidacy.
+package lease
+
+import (
+	"cmp"
+	"fmt"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/core"
+)
+
+// ballotMemberBits is the width of the member's index within a ballot.
+const ballotMemberBits = 8
+
+// Number orders the proposals of one cell over all its member sets.
+type Number struct {
+	Epoch  core.Epoch // of the member set
+	Ballot uint64     // round, then the proposer's index in the member set
+}
+
+// Compare orders numbers by epoch, then ballot.
+func (n Number) Compare(o Number) int {
+	return cmp.Or(cmp.Compare(n.Epoch, o.Epoch), cmp.Compare(n.Ballot, o.Ballot))
+}
+
+// Less reports whether n is older than o.
+func (n Number) Less(o Number) bool { return n.Compare(o) < 0 }
+
+// String renders the number as "epoch.ballot".
+func (n Number) String() string { return fmt.Sprintf("%d.%d", n.Epoch, n.Ballot) }
+
+func (n Number) round() uint64 { return n.Ballot >> ballotMemberBits }
+
+// Holder is one run of one member. A restart is another holder.
+type Holder struct {
+	VM      core.VM
+	Session uint64 // drawn at random when the process starts
+}
+
+// Electorate is the set of members whose majority elects. While a change of
+// the member set is not confirmed, a majority of the previous set is needed too.
+type Electorate struct {
+	Epoch    core.Epoch
+	Members  []core.VM // sorted
+	Previous []core.VM // empty once the change is confirmed
+}
+
+// Quorum reports whether the voters for which has is true include a majority
+// of each member set.
+func (e Electorate) Quorum(has func(core.VM) bool) bool {
+	return majority(e.Members, has) && (len(e.Previous) == 0 || majority(e.Previous, has))
+}
+
+func majority(members []core.VM, has func(core.VM) bool) bool {
+	n := 0
+	for _, m := range members {
+		if has(m) {
+			n++
+		}
+	}
+	return 2*n > len(members)
+}
+
+// Voters returns the members of both sets, each once.
+func (e Electorate) Voters() []core.VM {
+	voters := append([]core.VM(nil), e.Members...)
+	for _, p := range e.Previous {
+		if e.index(p) < 0 {
+			voters = append(voters, p)
+		}
+	}
+	return voters
+}
+
+func (e Electorate) index(vm core.VM) int {
+	for i, m := range e.Members {
+		if m == vm {
+			return i
+		}
+	}
+	return -1
+}
+
+// Prepare asks for a promise to refuse older numbers.
+type Prepare struct {
+	Number Number
+	Holder Holder
+}
+
+// Promise answers a Prepare.
+type Promise struct {
+	Number   Number // of the Prepare
+	OK       bool
+	Promised Number // newest number promised, also when refused
+}
+
+// Propose asks for a lease, or for its extension.
+type Propose struct {
+	Number Number
+	Holder Holder
+	Seq    uint64        // counts the proposals of one number
+	TTL    time.Duration // an acceptor counts it from the receipt
+}
+
+// Accept answers a Propose.
+type Accept struct {
+	Number   Number
+	Seq      uint64
+	OK       bool
+	Promised Number
+}
