Run a cell over several members

The cell had one member that planned for itself. Now each daemon runs a Node: a voter, a copy of the table, and the coordinator when it holds the cell's lease. A version of the table is in force once a majority of the cell holds it, and members dispatch by versions in force only. A new coordinator reads a majority and goes on from the newest version; after a loss of memory it waits until all that may have been granted has ended. Member leases ride on the heartbeats and count from before the member's own answer. Targets are placed in groups on members, shards move only once their owner provably ended.

A test in bench runs three daemons and two targets with forwarding. The registry is still one per daemon, so the test configures each of them.

--- /dev/null
+++ b/bench/cell_test.go
@@ -0,0 +1,52 @@
+package bench_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreynotch/comfreynotch/api/operatorspb"
+	"github.com/comfreynotch/comfreynotch/bench/cluster"
+	"github.com/comfreynotch/comfreynotch/bench/faketarget"
+)
+
+// TestCellServesEachKeyAtOneOwner holds "every key has exactly one rightful
+// owner" over a cell of three daemons and two targets: a
+// key's requests reach the same target, through whichever member dispatches it.
+func TestCellServesEachKeyAtOneOwner(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	c, err := cluster.Start(ctx, cluster.Deployment{
+		DataCentres: []cluster.DataCentre{{Name: "padana-a", VMs: 3}},
+		Services: []cluster.Service{{
+			Name: "archivio", Keyed: true, Shards: 16, Targets: 2,
+			Target: faketarget.Options{Slots: 4, Connections: 120},
+		}},
+		Workspaces: []cluster.Workspace{{Name: "lab", Rate: 1e6, Burst: 1e6}},
+	}, cluster.Options{Folder: t.TempDir()})
+	is.NoErr(err)
+	for _, vm := range c.VMs {
+		_, err := vm.Operate().PutService(ctx, &operatorspb.PutServiceRequest{
+			Change:  &operatorspb.Change{RequestId: "service-archivio"},
+			Service: &operatorspb.Service{Name: "archivio", Keyed: true, Shards: 16, RepeatableGet: true},
+		})
+		is.NoErr(err)
+	}
+	owners := map[string]bool{}
+	for key := range 12 {
+		owner := ""
+		for _, callers := range c.Callers()[:1] {
+			url := fmt.Sprintf("http://%s/archivio/batch-%d", callers, key)
+			body := callUntilServed(t, ctx, url, c.Secrets["lab"])
+			is.True(owner == "" || owner == body["target"]) // one owner, whoever is asked
+			owner = body["target"]
+		}
+		owners[owner] = true
+	}
+	is.Equal(len(owners), 2) // both targets own some
+	is.NoErr(c.Stop())
+}
--- /dev/null
+++ b/internal/cell/delta.go
@@ -0,0 +1,215 @@
+package cell
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/comfreynotch/comfreynotch/internal/core"
+)
+
+// Delta leads from one version of a table to another.
+type Delta struct {
+	Cell        core.Cell
+	Base        core.Fence // version it applies to; zero: any, it is a snapshot
+	Fence       core.Fence
+	Coordinator core.VM
+	Targets     []TargetEntry // new or changed
+	Gone        []core.TargetID
+	Sizes       []ShardCount // of services that are new or have another count
+	Dropped     []core.Service
+	Shards      []ShardChange
+	HotKeys     []HotKeyChange
+	Pins        []PinChange
+}
+
+// ShardCount is the number of shards of one service, hot keys included.
+type ShardCount struct {
+	Service core.Service
+	Count   int
+}
+
+// ShardChange is the new assignment of one shard.
+type ShardChange struct {
+	Service    core.Service
+	Shard      core.Shard
+	Assignment Assignment
+}
+
+// HotKeyChange adds or removes a key's own shard.
+type HotKeyChange struct {
+	Service core.Service
+	Hash    uint64
+	Shard   core.Shard
+	Removed bool
+}
+
+// PinChange sets or clears the owner that operators chose for a shard.
+type PinChange struct {
+	Service core.Service
+	Shard   core.Shard
+	Target  core.TargetID // empty: none
+}
+
+// Diff returns the delta from base to next. A nil base gives a snapshot.
+func Diff(base, next *Table) *Delta {
+	d := &Delta{Cell: next.Cell, Fence: next.Fence, Coordinator: next.Coordinator}
+	if base == nil {
+		base = NewTable(next.Cell)
+	} else {
+		d.Base = base.Fence
+	}
+	for _, id := range slices.Sorted(maps.Keys(next.Targets)) {
+		if e := next.Targets[id]; base.Targets[id] != e {
+			d.Targets = append(d.Targets, e)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(base.Targets)) {
+		if _, ok := next.Targets[id]; !ok {
+			d.Gone = append(d.Gone, id)
+		}
+	}
+	d.diffShards(base, next)
+	d.diffHotKeys(base, next)
+	d.diffPins(base, next)
+	return d
+}
+
+func (d *Delta) diffShards(base, next *Table) {
+	for _, name := range slices.Sorted(maps.Keys(next.Shards)) {
+		was, is := base.Shards[name], next.Shards[name]
+		if len(was) != len(is) {
+			d.Sizes = append(d.Sizes, ShardCount{name, len(is)})
+		}
+		for i, a := range is {
+			var old Assignment
+			if i < len(was) {
+				old = was[i]
+			}
+			if a != old {
+				d.Shards = append(d.Shards, ShardChange{name, core.Shard(i), a})
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(base.Shards)) {
+		if _, ok := next.Shards[name]; !ok {
+			d.Dropped = append(d.Dropped, name)
+		}
+	}
+}
+
+func (d *Delta) diffHotKeys(base, next *Table) {
+	for name, keys := range next.HotKeys {
+		for hash, shard := range keys {
+			if old, ok := base.HotKeys[name][hash]; !ok || old != shard {
+				d.HotKeys = append(d.HotKeys, HotKeyChange{Service: name, Hash: hash, Shard: shard})
+			}
+		}
+	}
+	for name, keys := range base.HotKeys {
+		for hash := range keys {
+			if _, ok := next.HotKeys[name][hash]; !ok {
+				d.HotKeys = append(d.HotKeys, HotKeyChange{Service: name, Hash: hash, Removed: true})
+			}
+		}
+	}
+}
+
+func (d *Delta) diffPins(base, next *Table) {
+	for name, pins := range next.Pins {
+		for shard, id := range pins {
+			if base.Pins[name][shard] != id {
+				d.Pins = append(d.Pins, PinChange{name, shard, id})
+			}
+		}
+	}
+	for name, pins := range base.Pins {
+		for shard := range pins {
+			if next.Pins[name][shard] == "" {
+				d.Pins = append(d.Pins, PinChange{Service: name, Shard: shard})
+			}
+		}
+	}
+}
+
+// Apply returns the table after d and whether d applies to t.
+func (t *Table) Apply(d *Delta) (*Table, bool) {
+	if d.Cell != t.Cell {
+		return t, false
+	}
+	next := NewTable(t.Cell)
+	if !d.Base.IsZero() {
+		if d.Base != t.Fence {
+			return t, false
+		}
+		next = t.clone()
+	}
+	next.Fence, next.Coordinator = d.Fence, d.Coordinator
+	for _, e := range d.Targets {
+		next.Targets[e.Target.ID] = e
+	}
+	for _, id := range d.Gone {
+		delete(next.Targets, id)
+	}
+	for _, s := range d.Dropped {
+		delete(next.Shards, s)
+	}
+	next.applyShards(d)
+	next.applyHotKeys(d)
+	for _, c := range d.Pins {
+		next.setPin(c.Service, c.Shard, c.Target)
+	}
+	return next, true
+}
+
+func (t *Table) applyShards(d *Delta) {
+	written := map[core.Service]bool{}
+	for _, s := range d.Sizes {
+		shards := make([]Assignment, s.Count)
+		copy(shards, t.Shards[s.Service])
+		t.Shards[s.Service] = shards
+		written[s.Service] = true
+	}
+	for _, c := range d.Shards {
+		if !written[c.Service] {
+			t.Shards[c.Service] = slices.Clone(t.Shards[c.Service])
+			written[c.Service] = true
+		}
+		if int(c.Shard) < len(t.Shards[c.Service]) {
+			t.Shards[c.Service][c.Shard] = c.Assignment
+		}
+	}
+}
+
+func (t *Table) applyHotKeys(d *Delta) {
+	for _, c := range d.HotKeys {
+		keys := maps.Clone(t.HotKeys[c.Service])
+		if keys == nil {
+			keys = map[uint64]core.Shard{}
+		}
+		if c.Removed {
+			delete(keys, c.Hash)
+		} else {
+			keys[c.Hash] = c.Shard
+		}
+		t.HotKeys[c.Service] = keys
+	}
+}
+
+// clone copies the maps; the slices of shards are shared and written only as
+// copies.
+func (t *Table) clone() *Table {
+	return &Table{
+		Cell:        t.Cell,
+		Fence:       t.Fence,
+		Coordinator: t.Coordinator,
+		Targets:     maps.Clone(t.Targets),
+		Shards:      maps.Clone(t.Shards),
+		HotKeys:     maps.Clone(t.HotKeys),
+		Pins:        maps.Clone(t.Pins),
+	}
+}
+
+// empty reports whether d changes nothing but the version.
+func (d *Delta) empty() bool {
+	return len(d.Targets)+len(d.Gone)+len(d.Sizes)+len(d.Dropped)+len(d.Shards)+len(d.HotKeys)+len(d.Pins) == 0
+}
--- /dev/null
+++ b/internal/cell/pin.go
@@ -0,0 +1,83 @@
+package cell
+
+import (
+	"maps"
+
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+)
+
+// Pin is an operator's choice of the owner of a shard, or of a key that gets a
+// shard of its own.
+type Pin struct {
+	Service core.Service
+	Shard   core.Shard // of the key, when Key is set
+	Key     bool
+	Hash    uint64        // of the key
+	Target  core.TargetID // empty: the choice is withdrawn
+}
+
+// pin enters a pin in t, whose maps may be written. A key's own shard begins
+// with the owner of the shard that the key is in, and moves from there as any
+// other shard does, so that the key never has two owners.
+func (t *Table) pin(pin Pin, in Inputs) {
+	svc, ok := in.State.Services[pin.Service]
+	if !ok || uint32(pin.Shard) >= svc.Shards {
+		return
+	}
+	shard := pin.Shard
+	if pin.Key {
+		shard, ok = t.HotKey(pin.Service, pin.Hash)
+		if !ok {
+			shard = t.addHotKey(svc, pin, in.Fence)
+		}
+	}
+	t.setPin(pin.Service, shard, pin.Target)
+}
+
+// Holds reports whether t contains the choice.
+func (t *Table) Holds(p Pin) bool {
+	shard := p.Shard
+	if p.Key {
+		var ok bool
+		if shard, ok = t.HotKey(p.Service, p.Hash); !ok {
+			return false
+		}
+	}
+	return t.Pins[p.Service][shard] == p.Target
+}
+
+func (t *Table) addHotKey(svc config.Service, pin Pin, fence core.Fence) core.Shard {
+	shard := core.Shard(t.shardCount(svc))
+	keys := maps.Clone(t.HotKeys[svc.Name])
+	if keys == nil {
+		keys = map[uint64]core.Shard{}
+	}
+	keys[pin.Hash] = shard
+	t.HotKeys[svc.Name] = keys
+	shards := make([]Assignment, shard+1)
+	copy(shards, t.Shards[svc.Name])
+	if a, _, ok := t.Owner(svc.Name, pin.Shard); ok {
+		shards[shard] = Assignment{Target: a.Target, Fence: fence}
+	}
+	t.Shards[svc.Name] = shards
+	return shard
+}
+
+// shardCount returns the number of shards of a service, hot keys included.
+func (t *Table) shardCount(svc config.Service) int {
+	return int(svc.Shards) + len(t.HotKeys[svc.Name])
+}
+
+func (t *Table) setPin(service core.Service, shard core.Shard, target core.TargetID) {
+	pins := maps.Clone(t.Pins[service])
+	if pins == nil {
+		pins = map[core.Shard]core.TargetID{}
+	}
+	if target == "" {
+		delete(pins, shard)
+	} else {
+		pins[shard] = target
+	}
+	t.Pins[service] = pins
+}
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -2,96 +2,103 @@
 
 import (
 	"cmp"
-	"maps"
-	"slices"
 
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 )
 
-// Plan returns the table that follows from prev when exactly these targets are
-// alive and these members dispatch. It moves as few shards as it can: an owner
-// that is alive keeps its shards up to the even share, rounded up.
-func Plan(prev *Table, state *config.State, targets map[core.TargetID]core.Target, members []core.VM) *Table {
-	next := NewTable(prev.Cell)
-	next.Fence = prev.Fence
-	next.Fence.Counter++
-	next.Targets = planDispatchers(prev, targets, members)
-	for name, svc := range state.Services {
-		if svc.Keyed {
-			next.Shards[name] = planShards(prev, next, state, svc)
-		}
-	}
-	return next
+// Inputs is everything that the next table depends on beside the one before.
+type Inputs struct {
+	State       *config.State
+	Fence       core.Fence // of the next table
+	Coordinator core.VM
+	Targets     map[core.TargetID]core.Target // that announce themselves
+	Members     []core.VM                     // that may be given targets, sorted
+	Lost        map[core.VM]bool              // dispatchers whose leases have provably ended
+	Proved      Proofs
+	Pins        []Pin // asked for by operators since prev
+
+	// After a loss of memory: Hint is what members still knew, Placed says that
+	// every member lease given before has ended, Settled that every grant has.
+	Hint    *Table
+	Placed  bool
+	Settled bool
 }
 
-// planDispatchers keeps each live dispatcher and gives the rest of the targets
-// to the member with the fewest.
-func planDispatchers(prev *Table, targets map[core.TargetID]core.Target, members []core.VM) map[core.TargetID]TargetEntry {
-	entries := make(map[core.TargetID]TargetEntry, len(targets))
-	load := make(map[core.VM]int, len(members))
-	for _, m := range members {
-		load[m] = 0
-	}
-	var unplaced []core.TargetID
-	for _, id := range slices.Sorted(maps.Keys(targets)) {
-		d := prev.Targets[id].Dispatcher
-		if _, ok := load[d]; !ok {
-			unplaced = append(unplaced, id)
-			continue
-		}
-		entries[id] = TargetEntry{Target: targets[id], Dispatcher: d}
-		load[d]++
-	}
-	for _, id := range unplaced {
-		d := leastLoaded(load)
-		entries[id] = TargetEntry{Target: targets[id], Dispatcher: d}
-		load[d]++
+// Proofs are the facts of all members that fit the table they refer to.
+type Proofs struct {
+	Shards  map[ReleasedShard]bool
+	Targets map[ReleasedTarget]bool
+	Down    map[core.TargetID]bool       // do not answer
+	Ended   map[core.TargetID]core.Fence // assignments up to the fence have ended
+	Held    map[core.Service]map[core.Shard]HeldShard
+}
+
+func newProofs() Proofs {
+	return Proofs{
+		Shards:  map[ReleasedShard]bool{},
+		Targets: map[ReleasedTarget]bool{},
+		Down:    map[core.TargetID]bool{},
+		Ended:   map[core.TargetID]core.Fence{},
+		Held:    map[core.Service]map[core.Shard]HeldShard{},
 	}
-	return entries
 }
 
-// planShards assigns the shards whose home is this cell.
-func planShards(prev, next *Table, state *config.State, svc config.Service) []Assignment {
-	shards := make([]Assignment, svc.Shards)
-	load := map[core.TargetID]int{}
-	for id, e := range next.Targets {
-		if e.Target.Service == svc.Name && !e.Target.Leaving {
-			load[id] = 0
+// add takes the facts of one member. Only the dispatcher of a target, under
+// its present placement, can prove anything about it.
+func (p Proofs) add(t *Table, from core.VM, f Facts) {
+	for _, s := range f.Shards {
+		a, e, ok := t.Owner(s.Service, s.Shard)
+		if ok && a.Fence == s.Fence && e.Dispatcher == from {
+			p.Shards[s] = true
 		}
 	}
-	if len(load) == 0 {
-		return shards
+	for _, r := range f.Targets {
+		if e := t.Targets[r.Target]; e.Dispatcher == from && e.Fence == r.Fence {
+			p.Targets[r] = true
+		}
 	}
-	home := homeShards(state, svc, next.Cell)
-	share := (len(home) + len(load) - 1) / len(load)
-	var unplaced []core.Shard
-	for _, s := range home {
-		a, _, ok := prev.Owner(svc.Name, s)
-		n, alive := load[a.Target]
-		if !ok || !alive || n >= share {
-			unplaced = append(unplaced, s)
-			continue
+	for _, r := range f.Down {
+		if e := t.Targets[r.Target]; e.Dispatcher == from && e.Fence == r.Fence {
+			p.Down[r.Target] = !r.Up
+			p.Ended[r.Target] = r.Ended
 		}
-		shards[s] = a
-		load[a.Target]++
 	}
-	for _, s := range unplaced {
-		id := leastLoaded(load)
-		shards[s] = Assignment{Target: id, Fence: next.Fence}
-		load[id]++
+	for _, h := range f.Held {
+		held := p.Held[h.Service]
+		if held == nil {
+			held = map[core.Shard]HeldShard{}
+			p.Held[h.Service] = held
+		}
+		if held[h.Shard].Fence.Less(h.Fence) && t.Targets[h.Target].Dispatcher == from {
+			held[h.Shard] = h
+		}
 	}
-	return shards
 }
 
-func homeShards(state *config.State, svc config.Service, cell core.Cell) []core.Shard {
-	var home []core.Shard
-	for s := range core.Shard(svc.Shards) {
-		if c, ok := state.Home(svc.Name, s); ok && c == cell {
-			home = append(home, s)
+// Plan returns the table that follows from prev. It moves as few shards and
+// targets as it can, and nothing whose holder may still use it.
+func Plan(prev *Table, in Inputs) *Table {
+	next := prev.clone()
+	next.Fence, next.Coordinator = in.Fence, in.Coordinator
+	if !in.Placed {
+		return next
+	}
+	for _, pin := range in.Pins {
+		next.pin(pin, in)
+	}
+	placeTargets(prev, next, in)
+	for name := range prev.Shards {
+		if svc, ok := in.State.Services[name]; !ok || !svc.Keyed {
+			delete(next.Shards, name)
 		}
 	}
-	return home
+	for name, svc := range in.State.Services {
+		if svc.Keyed {
+			next.Shards[name] = newShardPlan(prev, next, in, svc).run()
+		}
+	}
+	return next
 }
 
 // leastLoaded returns the name with the smallest load, the smaller name on a tie.
--- a/internal/cell/table.go
+++ b/internal/cell/table.go
@@ -1,6 +1,9 @@
 // Package cell decides, for one cell, which member dispatches to each target
-// and which target owns each shard. Decisions: table.go, plan.go. Task:
-// task.go, one goroutine that owns this member's copy and publishes it.
+// and which target owns each shard. Decisions: table.go and delta.go (the
+// replicated table), plan.go, placement.go and shards.go (the next table),
+// messages.go, member.go, coordinator.go and node.go (one member's part in the
+// protocol). Task: task.go, one goroutine that owns this member's Node and
+// publishes its table and lease.
 package cell
 
 import (
@@ -13,20 +16,32 @@
 type Assignment struct {
 	Target core.TargetID // empty: unassigned
 	Fence  core.Fence
+	// Releasing says that the owner hands the shard back: its dispatcher gives
+	// it no new work, and the next owner waits for the proof of release.
+	Releasing bool
 }
 
 // TargetEntry is one target of the cell and the one member that sends to it.
 type TargetEntry struct {
 	Target     core.Target
 	Dispatcher core.VM
+	Fence      core.Fence // of the table that made Dispatcher the dispatcher
+	// Releasing says that the dispatcher hands the target back.
+	Releasing bool
 }
 
 // Table is one version of a cell's assignments. It is immutable.
 type Table struct {
-	Cell    core.Cell
-	Fence   core.Fence // of the coordinator's newest change
-	Targets map[core.TargetID]TargetEntry
-	Shards  map[core.Service][]Assignment
+	Cell        core.Cell
+	Fence       core.Fence // of the coordinator's newest change; orders versions
+	Coordinator core.VM    // that wrote this version
+	Targets     map[core.TargetID]TargetEntry
+	Shards      map[core.Service][]Assignment
+	// HotKeys gives keys shards of their own, with numbers from the service's
+	// count of shards upwards; the index is the key's hash.
+	HotKeys map[core.Service]map[uint64]core.Shard
+	// Pins are the owners that operators chose.
+	Pins map[core.Service]map[core.Shard]core.TargetID
 }
 
 // NewTable returns an empty table.
@@ -35,6 +50,8 @@
 		Cell:    cell,
 		Targets: map[core.TargetID]TargetEntry{},
 		Shards:  map[core.Service][]Assignment{},
+		HotKeys: map[core.Service]map[uint64]core.Shard{},
+		Pins:    map[core.Service]map[core.Shard]core.TargetID{},
 	}
 }
 
@@ -49,10 +66,16 @@
 	return a, e, ok
 }
 
+// HotKey returns the shard that a key of this hash has for itself.
+func (t *Table) HotKey(service core.Service, hash uint64) (core.Shard, bool) {
+	s, ok := t.HotKeys[service][hash]
+	return s, ok
+}
+
 // Lease is this member's permission to dispatch what the table gives it. It
 // ends by the member's own monotonic clock, counted from before it was asked for.
 type Lease struct {
-	Fence core.Fence
+	Fence core.Fence // of the oldest table under which it holds
 	Until time.Time
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -42,6 +42,7 @@
 	DataCentre core.DataCentre
 	Members    []core.VM  // sorted
 	Epoch      core.Epoch // raised at each change of Members
+	Previous   []core.VM  // members before the newest change, until the cell confirmed it
 }
 
 // VM is one VM of the system.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,7 +57,7 @@
 	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s)}
 	d.dispatch = dispatch.NewTask(self)
 	d.quota = quota.NewTask()
-	d.cell = cell.NewTask(self, core.Cell(s.Cell), d.dispatch.TableChanged)
+	d.cell = d.newCell(s)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -27,5 +27,6 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", innerproto.ForwardHandler(d.pipeline))
 	mux.Handle(innerproto.EventsPath, innerproto.EventsHandler(d.recorder))
+	d.handleCell(mux)
 	return innerproto.WithStamps(d.recorder, mux)
 }
--- /dev/null
+++ b/internal/innerproto/cell_delta.go
@@ -0,0 +1,125 @@
+package innerproto
+
+import (
+	"github.com/comfreynotch/comfreynotch/internal/cell"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/innerproto/innerpb"
+)
+
+func deltaToWire(d *cell.Delta) *innerpb.CellDelta {
+	if d == nil {
+		return nil
+	}
+	w := &innerpb.CellDelta{
+		Cell: string(d.Cell), Base: fenceToWire(d.Base), Fence: fenceToWire(d.Fence),
+		Coordinator: string(d.Coordinator), Gone: idsToWire(d.Gone),
+	}
+	for _, e := range d.Targets {
+		w.Targets = append(w.Targets, &innerpb.CellTargetEntry{
+			Target: targetToWire(e.Target), Dispatcher: string(e.Dispatcher), Fence: fenceToWire(e.Fence), Releasing: e.Releasing,
+		})
+	}
+	services := &serviceChanges{byName: map[core.Service]*innerpb.CellServiceChange{}, runs: map[cell.Assignment]*innerpb.CellShardRun{}}
+	services.add(d)
+	w.Services = services.list
+	return w
+}
+
+// serviceChanges gathers a delta's changes by service, and shards of one
+// assignment into runs.
+type serviceChanges struct {
+	list   []*innerpb.CellServiceChange
+	byName map[core.Service]*innerpb.CellServiceChange
+	runs   map[cell.Assignment]*innerpb.CellShardRun // of the service that is being added
+	last   core.Service
+}
+
+func (s *serviceChanges) of(name core.Service) *innerpb.CellServiceChange {
+	c := s.byName[name]
+	if c == nil {
+		c = &innerpb.CellServiceChange{Service: string(name)}
+		s.byName[name] = c
+		s.list = append(s.list, c)
+	}
+	return c
+}
+
+func (s *serviceChanges) add(d *cell.Delta) {
+	for _, z := range d.Sizes {
+		c := s.of(z.Service)
+		c.Resized, c.Count = true, uint32(z.Count)
+	}
+	for _, name := range d.Dropped {
+		s.of(name).Dropped = true
+	}
+	for _, ch := range d.Shards {
+		s.addShard(ch)
+	}
+	for _, h := range d.HotKeys {
+		c := s.of(h.Service)
+		c.HotKeys = append(c.HotKeys, &innerpb.CellHotKey{Hash: h.Hash, Shard: uint32(h.Shard), Removed: h.Removed})
+	}
+	for _, p := range d.Pins {
+		c := s.of(p.Service)
+		c.Pins = append(c.Pins, &innerpb.CellPin{Shard: uint32(p.Shard), Target: string(p.Target)})
+	}
+}
+
+func (s *serviceChanges) addShard(ch cell.ShardChange) {
+	if ch.Service != s.last {
+		s.last = ch.Service
+		clear(s.runs)
+	}
+	run := s.runs[ch.Assignment]
+	if run == nil {
+		a := ch.Assignment
+		run = &innerpb.CellShardRun{Target: string(a.Target), Fence: fenceToWire(a.Fence), Releasing: a.Releasing}
+		s.runs[a] = run
+		c := s.of(ch.Service)
+		c.Shards = append(c.Shards, run)
+	}
+	run.Shards = append(run.Shards, uint32(ch.Shard))
+}
+
+func deltaFromWire(w *innerpb.CellDelta) *cell.Delta {
+	if w == nil {
+		return nil
+	}
+	d := &cell.Delta{
+		Cell: core.Cell(w.Cell), Base: fenceFromWire(w.Base), Fence: fenceFromWire(w.Fence), Coordinator: core.VM(w.Coordinator),
+	}
+	for _, e := range w.Targets {
+		d.Targets = append(d.Targets, cell.TargetEntry{
+			Target: targetFromWire(e.Target), Dispatcher: core.VM(e.Dispatcher), Fence: fenceFromWire(e.Fence), Releasing: e.Releasing,
+		})
+	}
+	for _, id := range w.Gone {
+		d.Gone = append(d.Gone, core.TargetID(id))
+	}
+	for _, c := range w.Services {
+		serviceFromWire(d, c)
+	}
+	return d
+}
+
+func serviceFromWire(d *cell.Delta, c *innerpb.CellServiceChange) {
+	name := core.Service(c.Service)
+	if c.Dropped {
+		d.Dropped = append(d.Dropped, name)
+	}
+	if c.Resized {
+		d.Sizes = append(d.Sizes, cell.ShardCount{Service: name, Count: int(c.Count)})
+	}
+	for _, run := range c.Shards {
+		a := cell.Assignment{Target: core.TargetID(run.Target), Fence: fenceFromWire(run.Fence), Releasing: run.Releasing}
+		for _, s := range run.Shards {
+			d.Shards = append(d.Shards, cell.ShardChange{Service: name, Shard: core.Shard(s), Assignment: a})
+		}
+	}
+	for _, h := range c.HotKeys {
+		d.HotKeys = append(d.HotKeys, cell.HotKeyChange{Service: name, Hash: h.Hash, Shard: core.Shard(h.Shard), Removed: h.Removed})
+	}
+	for _, p := range c.Pins {
+		d.Pins = append(d.Pins, cell.PinChange{Service: name, Shard: core.Shard(p.Shard), Target: core.TargetID(p.Target)})
+	}
+}
