--- a/bench/relay/relay.go
+++ b/bench/relay/relay.go
@@ -39,6 +39,21 @@
 
 type change func(m *mode)
 
+// Traffic counts what a relay carried since its start.
+type Traffic struct {
+	Connections int
+	In          int // bytes towards the target
+	Out         int // bytes from the target
+	Chunks      int // reads of a connection in either direction
+}
+
+type carried struct {
+	in    bool
+	bytes int
+}
+
+type trafficQuestion struct{ reply task.Reply[Traffic] }
+
 type closed struct{ number uint64 }
 
 type connection struct {
@@ -83,6 +98,11 @@
 // Heal ends a cut, a hold and a delay.
 func (r *Relay) Heal() { r.tell(func(m *mode) { m.cut, m.hold, m.delay = false, false, 0 }) }
 
+// Traffic returns the counts so far.
+func (r *Relay) Traffic(ctx context.Context) (Traffic, error) {
+	return task.Ask(ctx, r.mailbox, func(reply task.Reply[Traffic]) any { return trafficQuestion{reply} })
+}
+
 func (r *Relay) tell(c change) { _ = r.mailbox.Post(c) }
 
 // Run passes bytes on until ctx ends.
@@ -94,6 +114,7 @@
 	defer r.listener.Close()
 	open := map[uint64]*connection{}
 	var last uint64
+	var traffic Traffic
 	for {
 		select {
 		case <-ctx.Done():
@@ -105,17 +126,22 @@
 				continue
 			}
 			last++
+			traffic.Connections++
 			c := &connection{number: last, near: near, done: make(chan struct{})}
 			open[last] = c
 			go r.carry(ctx, c)
 		case m := <-r.mailbox.C():
-			r.handle(m, open, last)
+			r.handle(m, open, last, &traffic)
 		}
 	}
 }
 
-func (r *Relay) handle(m any, open map[uint64]*connection, last uint64) {
+func (r *Relay) handle(m any, open map[uint64]*connection, last uint64, traffic *Traffic) {
 	switch m := m.(type) {
+	case carried:
+		traffic.add(m)
+	case trafficQuestion:
+		m.reply.Answer(*traffic)
 	case closed:
 		delete(open, m.number)
 	case silence:
@@ -128,6 +154,15 @@
 	}
 }
 
+func (t *Traffic) add(c carried) {
+	t.Chunks++
+	if c.in {
+		t.In += c.bytes
+	} else {
+		t.Out += c.bytes
+	}
+}
+
 func (r *Relay) publish(c change) {
 	old := r.mode.Load()
 	next := *old
@@ -196,6 +231,7 @@
 		if _, err := to.Write(buf[:n]); err != nil || readErr != nil {
 			return
 		}
+		_ = r.mailbox.Send(ctx, carried{in: from == c.near, bytes: n})
 	}
 }
 
