--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -17,11 +18,13 @@
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
+	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/registry"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/task"
+	"github.com/comfreynotch/comfreynotch/internal/telemetry"
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
 	"github.com/comfreynotch/comfreynotch/internal/upstream"
 )
@@ -39,11 +42,18 @@
 	cell       *cell.Task
 	dispatch   *dispatch.Task
 	quota      *quota.Task
+	policy     operators.Policy
+	metrics    *telemetry.Metrics
 	pipeline   *serve.Server
 }
 
-// New checks the settings, binds every listener and assembles the tasks.
+// New binds every listener and assembles the tasks, with metrics of its own.
 func New(s *settings.Settings, logger log.Logger) (*Daemon, error) {
+	return NewWithMetrics(s, logger, telemetry.NewMetrics())
+}
+
+// NewWithMetrics is New for a caller that counts on the same metrics.
+func NewWithMetrics(s *settings.Settings, logger log.Logger, metrics *telemetry.Metrics) (*Daemon, error) {
 	bound, err := bind(s.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("bind listeners: %w", err)
@@ -53,15 +63,20 @@
 		bound.close()
 		return nil, fmt.Errorf("first configuration: %w", err)
 	}
+	policy, err := operatorsPolicy(s.Operators)
+	if err != nil {
+		bound.close()
+		return nil, err
+	}
 	self := core.VM(s.VM)
-	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s)}
+	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s, metrics.EventDropped), policy: policy, metrics: metrics}
 	d.dispatch = dispatch.NewTask(self)
-	d.quota = quota.NewTask()
 	d.cell = d.newCell(s)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
 	d.registry = registry.NewTask(initial, d.configChanged)
+	d.quota = quota.NewTask(self, core.Cell(s.Cell), authority{self: self}, innerproto.NewQuotaClient(http.DefaultClient), d.registry)
 	d.pipeline = &serve.Server{
 		Self:      self,
 		Config:    d.registry.State(),
@@ -71,19 +86,23 @@
 		Sender:    upstream.New(),
 		Forwarder: innerproto.NewForwarder(),
 	}
+	d.metrics.Observe(d.view)
 	d.supervise()
 	return d, nil
 }
 
 // configChanged hands an accepted state to the tasks that act on it.
 func (d *Daemon) configChanged(s *config.State) {
-	d.recordConfiguration(s)
+	d.recorder.ConfigurationChanged(s)
 	d.quota.ConfigChanged(s)
+	d.dispatch.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
 }
 
 func (d *Daemon) supervise() {
 	d.root = task.NewSupervisor("comfreynotchd", func(event string) {
+		d.metrics.TaskEvent()
+		d.recorder.Record(timeline.Event{Kind: timeline.TaskRestarted, Detail: event})
 		_ = level.Warn(d.logger).Log("msg", "task event", "event", event)
 	})
 	d.root.Add(d.recorder)
@@ -99,6 +118,7 @@
 
 // Run serves until ctx ends.
 func (d *Daemon) Run(ctx context.Context) error {
+	d.recorder.Record(timeline.Event{Kind: timeline.Started})
 	_ = level.Info(d.logger).Log("msg", "serving", "callers", d.CallersAddress(), "operators", d.OperatorsAddress())
 	err := d.root.Serve(ctx)
 	if ctx.Err() != nil {
