--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -23,7 +23,6 @@
 	elector     *lease.Elector
 	member      *member
 	coordinator *coordinator // nil unless this member holds the cell's lease
-
 }
 
 // NewNode returns the member of a process that started at now. Session is
--- a/internal/innerproto/innerpb/quota.twirp.go
+++ b/internal/innerproto/innerpb/quota.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *quotaServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *quotaServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "comfreynotch.inner", "Quota")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 339 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x92, 0x4f, 0x4b, 0xf3, 0x40,
 	0x10, 0xc6, 0xc9, 0xdb, 0xb4, 0xbc, 0x99, 0x10, 0x91, 0x41, 0x24, 0x88, 0x7f, 0x42, 0x40, 0xc8,
