--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,7 +71,7 @@
 	self := core.VM(s.VM)
 	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s, metrics.EventDropped), policy: policy, metrics: metrics}
 	d.dispatch = dispatch.NewTask(self)
-	d.cell = cell.NewTask(self, core.Cell(s.Cell), d.dispatch.TableChanged)
+	d.cell = d.newCell(s)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -20,5 +20,6 @@
 	mux.Handle("/", innerproto.ForwardHandler(d.pipeline))
 	mux.Handle(innerproto.QuotaPathPrefix, innerproto.QuotaHandler(d.quota))
 	mux.Handle(innerproto.EventsPath, innerproto.EventsHandler(d.recorder))
+	d.handleCell(mux)
 	return innerproto.WithStamps(d.recorder, mux)
 }
