Record what cells do, and bring operators' choices to the home cell

Cause: the time line showed configurations only, and assign, pin and the list of hot keys had no part behind them.

Change: the coordinator that wrote a table records what it changed: targets that joined, were lost or drain, dispatchers that moved, shards released and granted, one event for each target, with the loss, drain, announcement or election as cause. Each daemon looks at its own leases ten times a second and records what it gained or lost. Choices sends an operator's choice to the home cell's coordinator, whichever daemon was asked.

--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -11,15 +11,21 @@
 
 // newCell returns the task of this daemon's part in its cell.
 func (d *Daemon) newCell(s *settings.Settings) *cell.Task {
-	return cell.NewTask(core.VM(s.VM), core.Cell(s.Cell), innerproto.NewCellTransport(nil, "http"), d.tableChanged)
+	return cell.NewTask(core.VM(s.VM), core.Cell(s.Cell), d.cellTransport(), d.tableChanged)
 }
 
 // tableChanged hands a table in force to the tasks that act on it.
 func (d *Daemon) tableChanged(t *cell.Table) {
 	d.dispatch.TableChanged(t)
+	d.recorder.TableChanged(t)
 }
 
 // handleCell serves the other members of the cell.
 func (d *Daemon) handleCell(mux *http.ServeMux) {
 	mux.Handle(innerproto.CellPathPrefix, innerproto.CellHandler(d.cell))
 }
+
+// cellTransport carries calls to members of cells.
+func (d *Daemon) cellTransport() *innerproto.CellTransport {
+	return innerproto.NewCellTransport(nil, "http")
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
+	"github.com/comfreynotch/comfreynotch/internal/hotkeys"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
@@ -42,6 +43,7 @@
 	cell       *cell.Task
 	dispatch   *dispatch.Task
 	quota      *quota.Task
+	hotkeys    *hotkeys.Task
 	policy     operators.Policy
 	metrics    *telemetry.Metrics
 	pipeline   *serve.Server
@@ -69,8 +71,10 @@
 		return nil, err
 	}
 	self := core.VM(s.VM)
-	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s, metrics.EventDropped), policy: policy, metrics: metrics}
+	d := &Daemon{settings: s, logger: logger, listeners: bound, policy: policy, metrics: metrics}
+	d.recorder = d.newRecorder(s)
 	d.dispatch = dispatch.NewTask(self)
+	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
@@ -108,6 +112,7 @@
 	d.root.Add(d.recorder)
 	d.root.Add(d.dispatch)
 	d.root.Add(d.quota)
+	d.root.Add(d.hotkeys)
 	d.root.Add(d.cell)
 	d.root.Add(d.membership)
 	d.root.Add(d.registry)
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/api/operatorspb"
-	"github.com/comfreynotch/comfreynotch/internal/cell"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/health"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
@@ -16,9 +15,14 @@
 
 // operatorsHandler serves operators who show a certificate or a token.
 func (d *Daemon) operatorsHandler() http.Handler {
+	choices := operators.Choices{
+		Self: core.VM(d.settings.VM), Registry: d.registry, Here: d.cell, Members: d.cellTransport(), Hot: d.hotkeys,
+	}
 	server := operators.NewServer(operators.Parts{
 		Registry: d.registry,
-		Cell:     cellView{d.cell, core.VM(d.settings.VM)},
+		Cell:     d.cell,
+		Assigner: choices,
+		HotKeys:  choices,
 		Recorder: d.recorder,
 		Peers:    innerproto.NewEventsClient(innerproto.StampedTransport(d.recorder, http.DefaultTransport)),
 		View:     d.view,
@@ -61,20 +65,6 @@
 		Table:       d.cell.Table(),
 		LeaseLive:   d.cell.Lease().Live(time.Now()),
 		LeaderKnown: true,
-		Coordinator: cellView{d.cell, core.VM(d.settings.VM)}.Coordinator(),
-	}
-}
-
-// cellView shows a cell to operators.
-type cellView struct {
-	*cell.Task
-	self core.VM
-}
-
-// Coordinator is the only member of its cell while its lease is live.
-func (c cellView) Coordinator() core.VM {
-	if c.Lease().Live(time.Now()) {
-		return c.self
+		Coordinator: d.cell.Coordinator(),
 	}
-	return ""
 }
--- a/internal/daemon/telemetry.go
+++ b/internal/daemon/telemetry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/exchange"
 	"github.com/comfreynotch/comfreynotch/internal/gateway"
 	"github.com/comfreynotch/comfreynotch/internal/health"
+	"github.com/comfreynotch/comfreynotch/internal/hotkeys"
 	"github.com/comfreynotch/comfreynotch/internal/result"
 	"github.com/comfreynotch/comfreynotch/internal/telemetry"
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
@@ -40,7 +42,7 @@
 // callersHandler counts the requests of callers and logs those that failed. It
 // takes the outcome from the header of the answer.
 func (d *Daemon) callersHandler() http.Handler {
-	next := gateway.New(d.registry.State(), countedPipeline{d.pipeline, d.metrics, d.recorder})
+	next := gateway.New(d.registry.State(), countedPipeline{d.pipeline, d.metrics, d.recorder, d.hotkeys})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		began, code := time.Now(), result.ConnectionLost // the code of an answer that breaks off
 		defer func() { d.requestEnded(w.Header(), d.serviceLabel(r.URL.Path), code, time.Since(began)) }()
@@ -85,10 +87,14 @@
 	next     gateway.Pipeline
 	metrics  *telemetry.Metrics
 	recorder *timeline.Recorder
+	hotkeys  *hotkeys.Task
 }
 
 // Serve implements gateway.Pipeline.
 func (p countedPipeline) Serve(ctx context.Context, r *exchange.Request) (*exchange.Answer, error) {
+	if r.Key != "" && rand.IntN(hotkeys.SampleEvery) == 0 {
+		p.hotkeys.Count(r.Service, r.Key)
+	}
 	answer, err := p.next.Serve(ctx, r)
 	if err == nil {
 		p.metrics.WorkspaceRequest(r.Workspace, result.HasRun)
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -9,8 +9,16 @@
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
 )
 
-func newRecorder(s *settings.Settings, dropped func()) *timeline.Recorder {
-	return timeline.NewRecorder(core.VM(s.VM), core.DataCentre(s.DataCentre), dropped)
+func (d *Daemon) newRecorder(s *settings.Settings) *timeline.Recorder {
+	return timeline.NewRecorder(core.VM(s.VM), core.DataCentre(s.DataCentre), d.metrics.EventDropped, d.observe)
+}
+
+// observe returns what the time line records of this daemon's leases.
+func (d *Daemon) observe() timeline.Observation {
+	v := d.view()
+	return timeline.Observation{
+		Cell: v.Table.Cell, Fence: v.Table.Fence, LeaseLive: v.LeaseLive, Coordinator: v.Coordinator,
+	}
 }
 
 // innerHandler serves other daemons: forwards, and the other calls of the inner
--- a/internal/operators/explain.go
+++ b/internal/operators/explain.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/comfreynotch/comfreynotch/api/operatorspb"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/routing"
@@ -53,6 +55,10 @@
 		x.Reasons = append(x.Reasons, fmt.Sprintf("this daemon is in cell %s; a daemon of cell %s knows the owner", table.Cell, home))
 		return
 	}
+	if own, ok := table.HotKey(service, xxhash.Sum64String(x.GetKey())); ok {
+		x.Reasons = append(x.Reasons, fmt.Sprintf("the key has shard %d for itself, because an operator pinned it", own))
+		shard = own
+	}
 	a, entry, ok := table.Owner(service, shard)
 	if !ok {
 		x.Reasons = append(x.Reasons, "no target owns it now: the last grant has to end first, or no target is there")
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -309,3 +309,46 @@
 	is.NoErr(err)
 	is.Equal(again, "")
 }
+
+// fakeMembers answers Assign as the members of another cell.
+type fakeMembers struct {
+	answers map[core.VM]error
+	asked   []core.VM
+}
+
+func (f *fakeMembers) Call(_ context.Context, to config.VM, _ core.VM, _ cell.Call) (cell.Answer, error) {
+	f.asked = append(f.asked, to.Name)
+	return cell.AssignAnswer{Err: f.answers[to.Name]}, nil
+}
+
+type fakeOwnCell struct {
+	*fakeCell
+	pins []cell.Pin
+}
+
+func (f *fakeOwnCell) Assign(_ context.Context, p cell.Pin) error {
+	f.pins = append(f.pins, p)
+	return nil
+}
+
+// TestChoicesReachTheHomeCell holds that an operator's choice of an owner goes to
+// the coordinator of the shard's home cell, whichever daemon was asked, and that
+// a target which is not there is refused.
+func TestChoicesReachTheHomeCell(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	here := &fakeOwnCell{fakeCell: f.cell}
+	members := &fakeMembers{answers: map[core.VM]error{"vm-1": result.New(result.NoLeader, "not the coordinator")}}
+	f.server.parts.Assigner = Choices{Self: "vm-1", Registry: f.registry, Here: here, Members: members}
+	assign := func() result.Code {
+		_, err := f.server.Assign(t.Context(), &operatorspb.AssignRequest{Service: "archivio", Key: "batch-7", Target: "t1"})
+		return codeOf(err)
+	}
+	is.Equal(assign(), result.NotFound)
+	f.cell.table.Targets["t1"] = cell.TargetEntry{Target: core.Target{ID: "t1", Service: "archivio"}}
+	is.Equal(assign(), result.OK)
+	is.Equal(here.pins, []cell.Pin{{Service: "archivio", Shard: routing.Shard("batch-7", 8), Target: "t1"}})
+	f.cell.table = cell.NewTable("padana-b") // this daemon is now of another cell
+	is.Equal(assign(), result.OK)
+	is.Equal(members.asked, []core.VM{"vm-1", "vm-2"}) // the second is the coordinator
+}
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -1,7 +1,8 @@
 // Package timeline records what one daemon did and why, and puts the records of
 // many daemons into one order. Decisions: event.go (events and queries),
 // clock.go (hybrid logical clock), configuration.go
-// (what a new configuration changes), ring.go (bounded store), refusals.go (bulk
+// (what a new configuration changes), cells.go (what a new table, lease or leader
+// changes), ring.go (bounded store), refusals.go (bulk
 // refusals), merge.go (one order over many daemons). Task: task_recorder.go,
 // which owns the clock, the ring and the counts.
 package timeline
--- a/internal/timeline/task_recorder.go
+++ b/internal/timeline/task_recorder.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/comfreynotch/comfreynotch/internal/cell"
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/task"
@@ -13,6 +14,7 @@
 	mailboxSize    = 4096
 	ringCapacity   = 8192 // events
 	refusalsPeriod = time.Second
+	observePeriod  = 100 * time.Millisecond
 )
 
 type message interface{ isMessage() }
@@ -28,6 +30,8 @@
 
 type configChanged struct{ state *config.State }
 
+type tableChanged struct{ table *cell.Table }
+
 type fetch struct {
 	query Query
 	reply task.Reply[[]Event]
@@ -37,6 +41,7 @@
 func (observe) isMessage()       {}
 func (refused) isMessage()       {}
 func (configChanged) isMessage() {}
+func (tableChanged) isMessage()  {}
 func (fetch) isMessage()         {}
 
 // Recorder owns the events of one daemon and its hybrid logical clock.
@@ -46,8 +51,11 @@
 	dropped    func()
 	mailbox    task.Mailbox[message]
 	stamp      task.Snapshot[Stamp]
+	observe    func() Observation
 
 	state    *config.State // newest configuration recorded
+	table    *cell.Table   // newest table recorded
+	seen     Observation
 	clock    Clock
 	ring     *Ring
 	seq      uint64
@@ -55,12 +63,14 @@
 }
 
 // NewRecorder returns the recorder of one daemon. It calls dropped, from the
-// caller's goroutine, for each event that found the mailbox full.
-func NewRecorder(vm core.VM, dc core.DataCentre, dropped func()) *Recorder {
+// caller's goroutine, for each event that found the mailbox full. It asks observe,
+// from its own goroutine, what the daemon sees; observe must not wait.
+func NewRecorder(vm core.VM, dc core.DataCentre, dropped func(), observe func() Observation) *Recorder {
 	return &Recorder{
 		vm:         vm,
 		dataCentre: dc,
 		dropped:    dropped,
+		observe:    observe,
 		mailbox:    task.NewMailbox[message]("timeline", mailboxSize),
 		stamp:      task.NewSnapshot(&Stamp{}),
 		ring:       NewRing(ringCapacity),
@@ -90,6 +100,14 @@
 	}
 }
 
+// TableChanged records what follows from a new table of the cell, if this daemon
+// is the coordinator that wrote it.
+func (r *Recorder) TableChanged(t *cell.Table) {
+	if r.mailbox.Post(tableChanged{t}) != nil {
+		r.dropped()
+	}
+}
+
 // Observe takes over the stamp of a peer's message.
 func (r *Recorder) Observe(s Stamp) { _ = r.mailbox.Post(observe{s}) }
 
@@ -109,12 +127,16 @@
 func (r *Recorder) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(refusalsPeriod)
 	defer ticker.Stop()
+	look := time.NewTicker(observePeriod)
+	defer look.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case m := <-r.mailbox.C():
 			r.handle(m)
+		case now := <-look.C:
+			r.look(now)
 		case now := <-ticker.C:
 			for _, e := range r.refusals.Flush() {
 				r.store(e, now)
@@ -138,11 +160,37 @@
 			r.store(e, time.Now())
 		}
 		r.state = m.state
+	case tableChanged:
+		r.storeTable(m.table, time.Now())
 	case fetch:
 		m.reply.Answer(r.ring.Select(m.query))
 	}
 }
 
+// storeTable records what a table changed. The first one of a run stands for
+// what was there before it.
+func (r *Recorder) storeTable(t *cell.Table, now time.Time) {
+	prev := r.table
+	if prev == nil {
+		prev = cell.NewTable(t.Cell)
+	}
+	r.table = t
+	if t.Coordinator != r.vm {
+		return
+	}
+	for _, e := range TableEvents(prev, t) {
+		r.store(e, now)
+	}
+}
+
+func (r *Recorder) look(now time.Time) {
+	seen := r.observe()
+	for _, e := range ObservationEvents(r.vm, r.seen, seen) {
+		r.store(e, now)
+	}
+	r.seen = seen
+}
+
 func (r *Recorder) store(e Event, at time.Time) {
 	r.seq++
 	e.VM, e.Seq, e.Stamp = r.vm, r.seq, r.clock.Tick(at)
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -118,7 +118,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(t.Context())
-		r := NewRecorder("vm-1", "padana-a", func() { t.Error("dropped") })
+		r := NewRecorder("vm-1", "padana-a", func() { t.Error("dropped") }, func() Observation { return Observation{} })
 		done := make(chan error, 1)
 		go func() { done <- r.Serve(ctx) }()
 		r.Record(Event{Kind: Started})
@@ -145,7 +145,7 @@
 func TestRecordNeverWaits(t *testing.T) {
 	is := is.New(t)
 	dropped := 0
-	r := NewRecorder("vm-1", "padana-a", func() { dropped++ })
+	r := NewRecorder("vm-1", "padana-a", func() { dropped++ }, nil)
 	for range mailboxSize + 7 {
 		r.Record(Event{Kind: Started})
 	}
