--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -52,7 +52,7 @@
 	}
 	c.poller = &configsync.Poller{
 		Self: c.self.VM, Cell: core.Cell(s.Cell), Voters: c.voters, First: d.firstKnown(),
-		Coordinator: func() core.VM { return cellView{d.cell, c.self.VM}.Coordinator() },
+		Coordinator: d.cell.Coordinator,
 		Votes:       c.replica != nil, Task: c.copy, Client: c.client,
 	}
 	c.remote = &configsync.Remote{
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -3,22 +3,22 @@
 import (
 	"net/http"
 
-	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
 )
 
-func newRecorder(s *settings.Settings) *timeline.Recorder {
-	return timeline.NewRecorder(core.VM(s.VM), core.DataCentre(s.DataCentre), func() {})
+func (d *Daemon) newRecorder(s *settings.Settings) *timeline.Recorder {
+	return timeline.NewRecorder(core.VM(s.VM), core.DataCentre(s.DataCentre), d.metrics.EventDropped, d.observe)
 }
 
-// recordConfiguration records that a configuration came into force here.
-func (d *Daemon) recordConfiguration(s *config.State) {
-	d.recorder.Record(timeline.Event{
-		Kind: timeline.ConfigurationChanged, Version: s.Version, Ref: timeline.VersionRef(s.Version),
-	})
+// observe returns what the time line records of this daemon's leases.
+func (d *Daemon) observe() timeline.Observation {
+	v := d.view()
+	return timeline.Observation{
+		Cell: v.Table.Cell, Fence: v.Table.Fence, LeaseLive: v.LeaseLive, Coordinator: v.Coordinator,
+	}
 }
 
 // innerHandler serves other daemons: forwards, and the other calls of the inner
@@ -29,5 +29,6 @@
 	mux.Handle(innerproto.QuotaPathPrefix, innerproto.QuotaHandler(d.quota))
 	mux.Handle(innerproto.EventsPath, innerproto.EventsHandler(d.recorder))
 	mux.Handle(innerproto.RegistryPath, d.registry.handler())
+	d.handleCell(mux)
 	return innerproto.WithStamps(d.recorder, mux)
 }
