--- a/internal/registry/task_test.go
+++ b/internal/registry/task_test.go
@@ -106,10 +106,22 @@
 	}
 }
 
+func (n *network) connected() []*voter {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var voters []*voter
+	for _, v := range n.voters {
+		if !n.cut[v.vm] {
+			voters = append(voters, v)
+		}
+	}
+	return voters
+}
+
 func (n *network) leader() *voter {
 	for {
-		for _, v := range n.voters {
-			if s, err := v.task.Status(context.Background()); err == nil && s.Role == raft.Leader && !n.cut[v.vm] {
+		for _, v := range n.connected() {
+			if s, err := v.task.Status(context.Background()); err == nil && s.Role == raft.Leader {
 				return v
 			}
 		}
@@ -123,38 +135,47 @@
 	self core.VM
 }
 
-func (l link) peer(to raft.Member) *voter {
+func (l link) peer(to raft.Member) *Task {
 	l.net.mu.Lock()
 	defer l.net.mu.Unlock()
 	if l.net.cut[l.self] || l.net.cut[to.VM] {
 		return nil
 	}
-	return l.net.voters[to.VM]
+	if v := l.net.voters[to.VM]; v != nil {
+		return v.task
+	}
+	return nil
+}
+
+func (l link) losesAnswers() bool {
+	l.net.mu.Lock()
+	defer l.net.mu.Unlock()
+	return l.net.loseAnswers
 }
 
 func (l link) Send(_ context.Context, to raft.Member, messages []raft.Message) error {
-	if v := l.peer(to); v != nil {
+	if t := l.peer(to); t != nil {
 		time.Sleep(time.Millisecond)
-		v.task.Deliver(raft.Member{VM: l.self, Address: "x"}, messages)
+		t.Deliver(raft.Member{VM: l.self, Address: "x"}, messages)
 	}
 	return nil
 }
 
 func (l link) Propose(ctx context.Context, to raft.Member, command []byte) (core.Version, error) {
-	v := l.peer(to)
-	if v == nil {
+	t := l.peer(to)
+	if t == nil {
 		return 0, result.New(result.NoLeader, "cut")
 	}
-	version, err := v.task.ProposeHere(ctx, command)
-	if l.net.loseAnswers {
+	version, err := t.ProposeHere(ctx, command)
+	if l.losesAnswers() {
 		return 0, result.New(result.CommitUnknown, "the answer was lost")
 	}
 	return version, err
 }
 
 func (l link) ChangeMember(ctx context.Context, to raft.Member, change MemberChange) error {
-	if v := l.peer(to); v != nil {
-		return v.task.ChangeMemberHere(ctx, change)
+	if t := l.peer(to); t != nil {
+		return t.ChangeMemberHere(ctx, change)
 	}
 	return result.New(result.NoLeader, "cut")
 }
