Lend each cell's floor to the system while it is connected

Change: the whole rate is divided durably over the cells, and a connected cell lends nine tenths of its part: it promises not to fill it for 1.5 s, against a stamp of the system's source, so that a loan ends before its promise whatever messages and terms do. Seen failing first: a loan counted from its arrival, a coordinator that forgets the promise before it, a shorter promise, a stamp of another term and a stamp used twice each broke a test. Conclusion: floor 1, one tenth kept.

--- a/internal/innerproto/quota.go
+++ b/internal/innerproto/quota.go
@@ -15,7 +15,7 @@
 
 // Source answers draws of tokens.
 type Source interface {
-	Draw(ctx context.Context, d quota.Draw) ([]quota.Supply, error)
+	Draw(ctx context.Context, d quota.Draw) (quota.Answer, error)
 }
 
 type quotaServer struct{ source Source }
@@ -32,19 +32,20 @@
 		Level:   quota.Level(r.GetLevel()),
 		Cell:    core.Cell(r.GetCell()),
 		Version: core.Version(r.GetConfigVersion()),
+		Promise: stampFromWire(r.GetPromise()),
 	}
 	for _, w := range r.GetWants() {
 		d.Wants = append(d.Wants, quota.Want{Workspace: core.Workspace(w.GetWorkspace()), Tokens: int(w.GetTokens())})
 	}
-	supplies, err := s.source.Draw(ctx, d)
+	got, err := s.source.Draw(ctx, d)
 	if err != nil {
 		return nil, twirp.Unavailable.Error(err.Error())
 	}
-	answer := &innerpb.DrawAnswer{}
-	for _, got := range supplies {
+	answer := &innerpb.DrawAnswer{Stamp: stampToWire(got.Stamp)}
+	for _, s := range got.Supplies {
 		answer.Supplies = append(answer.Supplies, &innerpb.TokenSupply{
-			Workspace: string(got.Workspace), Tokens: uint32(got.Tokens),
-			RetryAfterMicros: uint32(got.RetryAfter.Microseconds()),
+			Workspace: string(s.Workspace), Tokens: uint32(s.Tokens),
+			RetryAfterMicros: uint32(s.RetryAfter.Microseconds()),
 		})
 	}
 	return answer, nil
@@ -57,23 +58,36 @@
 func NewQuotaClient(c *http.Client) *QuotaClient { return &QuotaClient{c} }
 
 // Draw asks the source at a daemon. It is sent once.
-func (c *QuotaClient) Draw(ctx context.Context, to config.VM, d quota.Draw) ([]quota.Supply, error) {
+func (c *QuotaClient) Draw(ctx context.Context, to config.VM, d quota.Draw) (quota.Answer, error) {
 	r := &innerpb.DrawRequest{
 		Level: uint32(d.Level), Cell: string(d.Cell), ConfigVersion: uint64(d.Version),
+		Promise: stampToWire(d.Promise),
 	}
 	for _, w := range d.Wants {
 		r.Wants = append(r.Wants, &innerpb.TokenWant{Workspace: string(w.Workspace), Tokens: uint32(w.Tokens)})
 	}
 	answer, err := innerpb.NewQuotaProtobufClient("http://"+to.InnerAddress, c.client).Draw(ctx, r)
 	if err != nil {
-		return nil, err
+		return quota.Answer{}, err
 	}
-	var supplies []quota.Supply
+	drawn := quota.Answer{Stamp: stampFromWire(answer.GetStamp())}
 	for _, got := range answer.GetSupplies() {
-		supplies = append(supplies, quota.Supply{
+		drawn.Supplies = append(drawn.Supplies, quota.Supply{
 			Workspace: core.Workspace(got.GetWorkspace()), Tokens: int(got.GetTokens()),
 			RetryAfter: time.Duration(got.GetRetryAfterMicros()) * time.Microsecond,
 		})
 	}
-	return supplies, nil
+	return drawn, nil
+}
+
+// stampToWire returns nil for no stamp.
+func stampToWire(s quota.Stamp) *innerpb.SourceStamp {
+	if s == (quota.Stamp{}) {
+		return nil
+	}
+	return &innerpb.SourceStamp{Term: s.Term, SinceMicros: uint64(s.Since.Microseconds())}
+}
+
+func stampFromWire(s *innerpb.SourceStamp) quota.Stamp {
+	return quota.Stamp{Term: s.GetTerm(), Since: time.Duration(s.GetSinceMicros()) * time.Microsecond}
 }
--- a/internal/quota/source.go
+++ b/internal/quota/source.go
@@ -25,6 +25,7 @@
 	prefetchHorizon = 200 * time.Millisecond // demand that a holder keeps in stock
 	drawRetry       = 50 * time.Millisecond  // least time between two draws for an empty workspace
 	unknownRetry    = time.Second            // before asking again for an unknown workspace
+	longestAdvice   = time.Minute            // of a RetryAfter
 )
 
 // Source hands out the tokens of one level of the tree: from its own buckets,
@@ -100,7 +101,7 @@
 	s.drawn[w.Workspace] = a
 	supply := Supply{Workspace: w.Workspace, Tokens: got}
 	if missing > 0 {
-		supply.RetryAfter = max(drawRetry, s.wait(a, now))
+		supply.RetryAfter = min(max(drawRetry, s.wait(a, now)), longestAdvice)
 	}
 	return supply
 }
--- a/internal/quota/task.go
+++ b/internal/quota/task.go
@@ -44,12 +44,19 @@
 	Level   Level
 	Cell    core.Cell    // of the asker
 	Version core.Version // of the configuration in force at the asker
+	Promise Stamp        // of a cell that lends; zero: none
 	Wants   []Want
 }
 
+// Answer is the reply to a Draw.
+type Answer struct {
+	Stamp    Stamp // of the system's source
+	Supplies []Supply
+}
+
 // Peers asks other daemons for tokens.
 type Peers interface {
-	Draw(ctx context.Context, to config.VM, d Draw) ([]Supply, error)
+	Draw(ctx context.Context, to config.VM, d Draw) (Answer, error)
 }
 
 // Registry takes the command that activates a new cell's floor.
@@ -70,14 +77,14 @@
 }
 
 type drawAnswer struct {
-	supplies []Supply
-	err      *result.Error
+	Answer
+	err *result.Error
 }
 
 type drawDone struct {
-	level    Level
-	supplies []Supply
-	err      error
+	level  Level
+	answer Answer
+	err    error
 }
 
 type configChanged struct{ state *config.State }
@@ -102,19 +109,23 @@
 	admission *Admission
 	replies   map[Ticket]task.Reply[*result.Error]
 	next      Ticket
-	cell      held
-	system    held
+	cell      cellTerm
+	system    systemTerm
 	acks      floorAcks
 	drawing   map[Level]bool
 }
 
-// held is the source of one level during one own term.
-type held struct {
-	term   uint64
-	source *Source // nil: this daemon has no authority over the level
+// cellTerm is the cell's source during one own term.
+type cellTerm struct {
+	number  uint64
+	source  *CellSource   // nil: this daemon does not coordinate
+	pending []pendingDraw // draws that wait for the level above
+}
 
-	// pending are the draws that wait for the level above.
-	pending []pendingDraw
+// systemTerm is the system's source during one own term.
+type systemTerm struct {
+	number uint64
+	source *SystemSource // nil: this daemon does not lead
 }
 
 // NewTask returns a task without tokens for daemon self of the given cell.
@@ -132,7 +143,7 @@
 }
 
 // Admit takes one token of the workspace; it may wait shortly for one. It
-// refuses with RateExceeded, not run.
+// refuses with RateExceeded or CellUnreachable, not run.
 func (t *Task) Admit(ctx context.Context, w core.Workspace) error {
 	refusal, err := task.Ask(ctx, t.mailbox, func(r task.Reply[*result.Error]) message { return admit{w, r} })
 	if err != nil {
@@ -145,15 +156,15 @@
 }
 
 // Draw answers another daemon's draw.
-func (t *Task) Draw(ctx context.Context, d Draw) ([]Supply, error) {
+func (t *Task) Draw(ctx context.Context, d Draw) (Answer, error) {
 	a, err := task.Ask(ctx, t.mailbox, func(r task.Reply[drawAnswer]) message { return drawAsked{d, r} })
 	if err != nil {
-		return nil, err
+		return Answer{}, err
 	}
 	if a.err != nil {
-		return nil, a.err
+		return Answer{}, a.err
 	}
-	return a.supplies, nil
+	return a.Answer, nil
 }
 
 // ConfigChanged delivers the state in force.
@@ -163,6 +174,8 @@
 func (t *Task) Serve(ctx context.Context) error {
 	timer := time.NewTimer(advanceAfter)
 	defer timer.Stop()
+	renewal := time.NewTicker(loanRenew)
+	defer renewal.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -170,6 +183,7 @@
 		case m := <-t.mailbox.C():
 			t.handle(m, time.Now())
 		case <-timer.C:
+		case <-renewal.C:
 		}
 		t.advance(ctx, time.Now())
 		if t.admission.Waiting() {
@@ -188,8 +202,7 @@
 		t.drawn(m, now)
 	case configChanged:
 		t.state = m.state
-		t.admission.SetState(m.state)
-		t.shareOut(now)
+		t.setState(now)
 	}
 }
 
@@ -210,12 +223,13 @@
 	}
 }
 
-// shareOut gives the sources the shares of the state in force.
-func (t *Task) shareOut(now time.Time) {
+// setState gives the sources the state in force.
+func (t *Task) setState(now time.Time) {
+	t.admission.SetState(t.state)
 	if t.cell.source != nil {
-		t.cell.source.SetShares(t.division.Cell(t.state, t.cellName), now)
+		t.cell.source.SetState(t.state, now)
 	}
 	if t.system.source != nil {
-		t.system.source.SetShares(t.division.System(t.state), now)
+		t.system.source.SetState(t.state, now)
 	}
 }
--- a/internal/quota/task_draw.go
+++ b/internal/quota/task_draw.go
@@ -31,28 +31,32 @@
 	t.drawFromSystem(ctx, now)
 }
 
-// renew begins and ends the own terms of both levels.
+// renew begins and ends the own terms of both levels. A new term begins with a
+// new, empty source.
 func (t *Task) renew(now time.Time) {
-	t.renewLevel(&t.cell, t.authority.Coordinator(), true, now)
-	t.renewLevel(&t.system, t.authority.Leader(), false, now)
+	term, own := t.own(t.authority.Coordinator(), now)
+	if !own || t.cell.number != term {
+		pending := t.cell.pending
+		t.cell = cellTerm{}
+		if own {
+			t.cell = cellTerm{number: term, source: NewCellSource(t.cellName, t.division, t.state, now)}
+		}
+		for _, p := range pending {
+			p.done(drawAnswer{Answer: Answer{Supplies: p.supplies}})
+		}
+	}
+	term, own = t.own(t.authority.Leader(), now)
+	if !own || t.system.number != term {
+		t.system = systemTerm{}
+		if own {
+			t.system = systemTerm{number: term, source: NewSystemSource(term, t.division, t.state, now)}
+		}
+	}
 }
 
-// renewLevel gives h a new, empty source when an own term is new, and none while
-// this daemon has no authority.
-func (t *Task) renewLevel(h *held, term Term, hasParent bool, now time.Time) {
-	own := term.Holder == t.self && !now.Before(term.From) && now.Before(term.Until)
-	if own && h.source != nil && h.term == term.Number {
-		return
-	}
-	pending := h.pending
-	*h = held{}
-	if own {
-		h.term, h.source = term.Number, NewSource(hasParent)
-		t.shareOut(now)
-	}
-	for _, p := range pending {
-		p.done(drawAnswer{supplies: p.supplies})
-	}
+// own reports whether this daemon holds the authority now, and its term.
+func (t *Task) own(term Term, now time.Time) (number uint64, own bool) {
+	return term.Number, term.Holder == t.self && !now.Before(term.From) && now.Before(term.Until)
 }
 
 // drawFromCell sends what the admission wants to the cell's source. At most one
@@ -62,33 +66,37 @@
 		return
 	}
 	if wants := t.admission.Wants(now); len(wants) > 0 {
-		t.send(ctx, t.authority.Coordinator(), CellLevel, wants, now)
+		t.send(ctx, t.authority.Coordinator(), Draw{Level: CellLevel, Wants: wants}, now)
 	}
 }
 
-// drawFromSystem sends what the cell's source wants to the system's source.
+// drawFromSystem sends what the cell's source wants, and its promise, to the
+// system's source.
 func (t *Task) drawFromSystem(ctx context.Context, now time.Time) {
-	if t.drawing[SystemLevel] || t.cell.source == nil {
+	source := t.cell.source
+	if t.drawing[SystemLevel] || source == nil {
 		return
 	}
-	if wants := t.cell.source.Wants(now); len(wants) > 0 {
-		t.send(ctx, t.authority.Leader(), SystemLevel, wants, now)
+	wants := source.Wants(now)
+	if len(wants) > 0 || source.Due(now) {
+		draw := Draw{Level: SystemLevel, Promise: source.Promise(now), Wants: wants}
+		t.send(ctx, t.authority.Leader(), draw, now)
 	}
 }
 
-func (t *Task) send(ctx context.Context, term Term, level Level, wants []Want, now time.Time) {
-	t.drawing[level] = true
-	draw := Draw{Level: level, Cell: t.cellName, Version: t.state.Version, Wants: wants}
+func (t *Task) send(ctx context.Context, term Term, draw Draw, now time.Time) {
+	t.drawing[draw.Level] = true
+	draw.Cell, draw.Version = t.cellName, t.state.Version
 	if term.Holder == t.self {
 		t.answer(draw, now, func(a drawAnswer) {
-			t.drawn(drawDone{level, a.supplies, errOrNil(a.err)}, now)
+			t.drawn(drawDone{draw.Level, a.Answer, errOrNil(a.err)}, now)
 		})
 		return
 	}
 	vm, ok := t.state.VMs[term.Holder]
 	if !ok {
 		unknown := result.New(result.CellUnreachable, "no holder of the source is known")
-		t.drawn(drawDone{level: level, err: unknown}, now)
+		t.drawn(drawDone{level: draw.Level, err: unknown}, now)
 		return
 	}
 	go t.ask(ctx, vm, draw)
@@ -98,31 +106,40 @@
 func (t *Task) ask(ctx context.Context, to config.VM, d Draw) {
 	asked, cancel := context.WithTimeout(ctx, drawTimeout)
 	defer cancel()
-	supplies, err := t.peers.Draw(asked, to, d)
-	_ = t.mailbox.Send(ctx, drawDone{d.Level, supplies, err})
+	answer, err := t.peers.Draw(asked, to, d)
+	_ = t.mailbox.Send(ctx, drawDone{d.Level, answer, err})
 }
 
-// answer serves a draw from the source of its level. A draw from a cell's
-// source that lacks tokens waits for the next answer of the level above.
+// answer serves a draw from the source of its level.
 func (t *Task) answer(d Draw, now time.Time, done func(drawAnswer)) {
 	t.renew(now)
-	h := &t.cell
-	if d.Level == SystemLevel {
-		h = &t.system
-	}
-	if h.source == nil || d.Level == CellLevel && d.Cell != t.cellName {
+	switch {
+	case d.Level == SystemLevel && t.system.source != nil:
+		done(drawAnswer{Answer: t.answerCell(d, now)})
+	case d.Level == CellLevel && t.cell.source != nil && d.Cell == t.cellName:
+		t.answerDaemon(d, now, done)
+	default:
 		done(drawAnswer{err: result.New(result.NotOwner, "this daemon does not hold the source")})
-		return
 	}
-	if d.Level == SystemLevel {
-		t.activate(d, now)
-	}
-	supplies := h.source.Supply(d.Wants, now)
-	if d.Level == CellLevel && lacking(d.Wants, supplies) && (t.drawing[SystemLevel] || h.source.Lacks(now)) {
-		h.pending = append(h.pending, pendingDraw{d.Wants, supplies, done})
+}
+
+func (t *Task) answerCell(d Draw, now time.Time) Answer {
+	t.activate(d, now)
+	source := t.system.source
+	source.Lend(d.Cell, d.Promise, now)
+	return Answer{Stamp: source.Stamp(now), Supplies: source.Supply(d.Wants, now)}
+}
+
+// answerDaemon answers at once, unless tokens are missing that the next answer
+// of the level above may bring.
+func (t *Task) answerDaemon(d Draw, now time.Time, done func(drawAnswer)) {
+	source := t.cell.source
+	supplies := source.Supply(d.Wants, now)
+	if lacking(d.Wants, supplies) && (t.drawing[SystemLevel] || source.Lacks(now)) {
+		t.cell.pending = append(t.cell.pending, pendingDraw{d.Wants, supplies, done})
 		return
 	}
-	done(drawAnswer{supplies: supplies})
+	done(drawAnswer{Answer: Answer{Supplies: supplies}})
 }
 
 func (t *Task) drawn(m drawDone, now time.Time) {
@@ -133,7 +150,7 @@
 	case m.err != nil:
 		t.admission.DrawFailed(now)
 	default:
-		t.deliver(t.admission.Receive(m.supplies, now))
+		t.deliver(t.admission.Receive(m.answer.Supplies, now))
 	}
 }
 
@@ -147,13 +164,14 @@
 	if m.err != nil {
 		source.DrawFailed(now)
 	} else {
-		source.Receive(m.supplies, now)
+		source.Receive(m.answer.Supplies, now)
+		source.Answered(m.answer.Stamp, now)
 	}
 	pending := t.cell.pending
 	t.cell.pending = nil
 	for _, p := range pending {
 		more := source.Supply(missing(p.wants, p.supplies), now)
-		p.done(drawAnswer{supplies: merge(p.supplies, more)})
+		p.done(drawAnswer{Answer: Answer{Supplies: merge(p.supplies, more)}})
 	}
 	source.Trim()
 }
