Name the moves of shards by their job, and share the sketch

Cause: the list of the hottest keys and the decision which to move both count frequent keys, and both were called hotkeys. Change: package frequent holds the Space-Saving sketch for any kind of key, package rebalance decides about moves. Seen: tests and BenchmarkHotKeys as before.

--- a/internal/hotkeys/balance.go
+++ b/internal/rebalance/balance.go
@@ -1,4 +1,4 @@
-package hotkeys
+package rebalance
 
 import (
 	"cmp"
--- a/internal/hotkeys/tracker.go
+++ b/internal/rebalance/tracker.go
@@ -1,4 +1,4 @@
-package hotkeys
+package rebalance
 
 import (
 	"cmp"
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/frequent"
 )
 
 const (
@@ -15,6 +16,12 @@
 	decayFactor    = 0.5 // of the counts, at each report
 )
 
+// KeyID names a key by its hash, so that no key is kept.
+type KeyID struct {
+	Shard core.Shard
+	Hash  uint64
+}
+
 // Request is one keyed request that was sent to its target.
 type Request struct {
 	Service core.Service
@@ -67,7 +74,7 @@
 	targets map[core.TargetID]float64
 	shards  map[core.Shard]float64
 	owner   map[core.Shard]core.TargetID
-	keys    *sketch
+	keys    *frequent.Sketch[KeyID]
 }
 
 // NewTracker returns a tracker that starts counting at now.
@@ -83,14 +90,14 @@
 			targets: map[core.TargetID]float64{},
 			shards:  map[core.Shard]float64{},
 			owner:   map[core.Shard]core.TargetID{},
-			keys:    newSketch(sketchCapacity),
+			keys:    frequent.New[KeyID](sketchCapacity),
 		}
 		t.services[r.Service] = s
 	}
 	s.targets[r.Target]++
 	s.shards[r.Key.Shard]++
 	s.owner[r.Key.Shard] = r.Target
-	s.keys.add(r.Key)
+	s.keys.Add(r.Key, 1)
 }
 
 // Report returns the load up to now and decays the counts.
@@ -126,9 +133,9 @@
 		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Shard, b.Shard))
 	})
 	l.Shards = busiest(l.Shards)
-	for key, c := range s.keys.counters {
-		if certain := c.count - c.error; certain > 0 {
-			l.Keys = append(l.Keys, KeyRate{key, s.owner[key.Shard], certain / seconds})
+	for _, c := range s.keys.Counters() {
+		if certain := c.Count - c.Error; certain > 0 {
+			l.Keys = append(l.Keys, KeyRate{c.Key, s.owner[c.Key.Shard], certain / seconds})
 		}
 	}
 	slices.SortFunc(l.Keys, func(a, b KeyRate) int {
@@ -155,9 +162,12 @@
 			delete(s.owner, shard)
 		}
 	}
-	s.keys.decay(decayFactor)
+	s.keys.Decay(decayFactor)
 }
 
+// negligible is the decayed count below which a shard or target is forgotten.
+const negligible = 0.5
+
 func decayMap[K comparable](m map[K]float64) {
 	for k, n := range m {
 		if n *= decayFactor; n < negligible {
