--- a/internal/frequent/sketch.go
+++ b/internal/frequent/sketch.go
@@ -63,6 +63,9 @@
 	}
 }
 
+// Len is the number of counted keys.
+func (s *Sketch[K]) Len() int { return len(s.order) }
+
 // Counters returns the counted keys in no order.
 func (s *Sketch[K]) Counters() []Counter[K] {
 	out := make([]Counter[K], len(s.order))
--- a/internal/hotkeys/sketch_test.go
+++ b/internal/hotkeys/sketch_test.go
@@ -29,7 +29,7 @@
 			}
 			s.Add(key, 1, now)
 		}
-		is.True(len(s.counts) <= capacity)
+		is.True(s.counts.Len() <= capacity)
 	}
 	top := s.Top(2, now)
 	is.Equal([]string{top[0].Key, top[1].Key}, []string{"hot-300", "hot-200"})
