Tell followers of a commit at once and wait by message

A follower whose answer came after the commit was told at the next heartbeat, and waits for a version looked again every 20 or 50 ms.

The leader now tells each member of the commit as soon as it may, waits are answered by the task that publishes, and followers write while the leader does.

--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -8,6 +8,7 @@
 	next     Index // first entry to send; match < next
 	probing  bool  // next is a guess: one Append in a heartbeat period
 	probed   bool
+	told     Index  // commit index that it was sent
 	snapshot int    // ticks left to wait for a snapshot's answer
 	quiet    bool   // no answer to an Append since the last heartbeat period began
 	active   bool   // heard since the last quorum check
@@ -69,7 +70,7 @@
 		if appendDue && c.peers[vm].next <= c.log.last() {
 			c.sendAppend(vm)
 		}
-		if heartbeatDue {
+		if heartbeatDue || c.commitFor(vm) > c.peers[vm].told {
 			c.sendHeartbeat(vm)
 		}
 	}
@@ -150,9 +151,7 @@
 	c.commit = index
 	if c.log.membersIndex() <= c.commit && !c.log.members().IsVoter(c.config.Self) {
 		c.becomeFollower(c.term, "") // its removal is committed
-		return
 	}
-	c.heartbeatDue = true
 }
 
 func (c *Core) matchOf(vm core.VM) Index {
@@ -204,11 +203,14 @@
 }
 
 func (c *Core) sendHeartbeat(vm core.VM) {
-	c.send(Message{
-		Type: Heartbeat, To: vm, Commit: min(c.peers[vm].match, c.commit), Sequence: c.readSequence,
-	})
+	c.peers[vm].told = c.commitFor(vm)
+	c.send(Message{Type: Heartbeat, To: vm, Commit: c.peers[vm].told, Sequence: c.readSequence})
 }
 
+// commitFor is what a member may take as committed: it holds no other entry up
+// to there.
+func (c *Core) commitFor(vm core.VM) Index { return min(c.peers[vm].match, c.commit) }
+
 func (c *Core) handleHeartbeatReply(m Message) {
 	p := c.peers[m.From]
 	if c.role != Leader || p == nil {
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -146,7 +146,8 @@
 
 // Actions are what the owner of a Core must do, in the order of the fields.
 // HardState, Entries and Snapshot must be durable before any Message leaves
-// and before Persisted is called.
+// and before Persisted is called; an Append may leave earlier if HardState is
+// nil.
 type Actions struct {
 	HardState *HardState
 	Snapshot  *Snapshot // replaces state machine and log; Entries follow it
--- a/internal/registry/task.go
+++ b/internal/registry/task.go
@@ -1,8 +1,8 @@
 // Package registry replicates the accepted configuration over a few voters and
 // orders its changes. Decisions: machine.go and pending.go, and package raft.
 // Tasks: task.go is the interface of the task that owns raft core, storage and
-// state machine, task_replica.go its loop, task_peer.go a task for each other
-// member, task_propose.go what runs on a caller's goroutine.
+// state machine, task_replica.go its loop, task_read.go its reads, task_peer.go
+// a task for each other member, task_propose.go what runs on a caller's goroutine.
 package registry
 
 import (
@@ -136,6 +136,10 @@
 		change MemberChange
 		reply  task.Reply[answer]
 	}
+	reachQuestion struct {
+		version core.Version
+		reply   task.Reply[answer]
+	}
 	readQuestion   struct{ reply task.Reply[answer] }
 	statusQuestion struct{ reply task.Reply[raft.Status] }
 )
@@ -143,6 +147,7 @@
 func (inbound) isMessage()        {}
 func (proposal) isMessage()       {}
 func (memberProposal) isMessage() {}
+func (reachQuestion) isMessage()  {}
 func (readQuestion) isMessage()   {}
 func (statusQuestion) isMessage() {}
 
--- a/internal/registry/task_peer.go
+++ b/internal/registry/task_peer.go
@@ -102,6 +102,21 @@
 	}
 }
 
+// sendAppends sends what a leader may send before its own write is synced, and
+// returns the rest.
+func (r *replica) sendAppends(messages []raft.Message) []raft.Message {
+	var appends, rest []raft.Message
+	for _, m := range messages {
+		if m.Type == raft.Append {
+			appends = append(appends, m)
+		} else {
+			rest = append(rest, m)
+		}
+	}
+	r.send(appends)
+	return rest
+}
+
 func (r *replica) stopPeers(cancel context.CancelFunc) {
 	cancel()
 	for _, p := range r.peers {
--- a/internal/registry/task_propose.go
+++ b/internal/registry/task_propose.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"time"
@@ -22,18 +23,24 @@
 // the leader, wherever it is, and repeats until an answer is certain: the
 // request id makes that safe. An error of class "not run" is proved.
 func (t *Task) Propose(ctx context.Context, c config.Command) (*config.State, error) {
+	version, err := t.ProposeVersion(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return t.reached(ctx, version)
+}
+
+// ProposeVersion is Propose without waiting for this replica to follow. It
+// returns the version that the change led to.
+func (t *Task) ProposeVersion(ctx context.Context, c config.Command) (core.Version, error) {
 	if c.RequestID == "" {
 		c.RequestID = rand.Text()
 	}
 	data, err := t.options.Codec.EncodeCommand(c)
 	if err != nil {
-		return nil, result.Wrap(result.InvalidChange, err, "change")
-	}
-	version, err := t.ProposeEncoded(ctx, data)
-	if err != nil {
-		return nil, err
+		return 0, result.Wrap(result.InvalidChange, err, "change")
 	}
-	return t.reached(ctx, version)
+	return t.ProposeEncoded(ctx, data)
 }
 
 // ProposeEncoded is Propose for a command in its stored form. It returns the
@@ -128,11 +135,12 @@
 
 // reached waits until this replica has a version, which the registry holds.
 func (t *Task) reached(ctx context.Context, version core.Version) (*config.State, error) {
-	for t.Current().Version < version {
-		if !pause(ctx) {
-			return nil, result.Wrap(result.CommitUnknown, context.Cause(ctx),
-				"version %d is accepted but has not reached this VM", version)
-		}
+	if t.Current().Version >= version {
+		return t.Current(), nil
+	}
+	a, err := task.Ask(ctx, t.mailbox, func(r task.Reply[answer]) message { return reachQuestion{version, r} })
+	if err = cmp.Or(err, a.err); err != nil {
+		return nil, result.Wrap(result.CommitUnknown, err, "version %d is accepted but has not reached this VM", version)
 	}
 	return t.Current(), nil
 }
--- a/internal/registry/task_replica.go
+++ b/internal/registry/task_replica.go
@@ -16,10 +16,8 @@
 )
 
 const (
-	maxBatch      = 1024 // messages handled before their parts are made durable together
-	readTicks     = 5    // until an unanswered read is asked again
-	readLifeTicks = 50   // until its asker gets an answer all the same
-	stopTimeout   = 300 * time.Millisecond
+	maxBatch    = 1024 // messages handled before their parts are made durable together
+	stopTimeout = 300 * time.Millisecond
 
 	// keptDivisor: this part of the entries before a snapshot stays in memory for
 	// members that are a little behind.
@@ -36,6 +34,7 @@
 	pending map[raft.Index]pending
 	reads   map[uint64]*read
 	readID  uint64
+	waiters []*reachWaiter
 	peers   map[core.VM]*peer
 	contact raft.Member // newest sender: one that joins must answer before it knows the members
 
@@ -52,15 +51,6 @@
 	reply task.Reply[answer]
 }
 
-// read waits for a proof that the replica is up to date.
-type read struct {
-	asked time.Time
-	age   int // ticks
-	index raft.Index
-	ready bool               // index is known
-	reply task.Reply[answer] // nil: the task's own
-}
-
 // Serve runs the replica until ctx ends, then hands its lead over.
 func (t *Task) Serve(ctx context.Context) error {
 	from := t.opened
@@ -140,6 +130,9 @@
 	case memberProposal:
 		index, term, err := m.change.propose(r.core)
 		r.wait(index, term, err, m.reply)
+	case reachQuestion:
+		r.waiters = append(r.waiters, &reachWaiter{question: m})
+		r.answerWaiters()
 	case readQuestion:
 		r.ask(m.reply)
 	case statusQuestion:
@@ -170,47 +163,6 @@
 	}
 }
 
-func (r *replica) tick() {
-	r.ticks++
-	r.core.Tick()
-	for id, q := range r.reads {
-		q.age++
-		switch {
-		case q.age >= readLifeTicks:
-			r.finishRead(id, q, result.New(result.NoLeader, "no majority of the registry confirmed the read"))
-		case !q.ready && (q.age%readTicks == 0 || r.confirmedAt.IsZero()):
-			_ = r.core.Read(id)
-		}
-	}
-	if r.refresh == 0 && (r.confirmedAt.IsZero() || r.ticks%refreshTicks == 0) {
-		r.refresh = r.ask(nil)
-	}
-}
-
-// ask asks the core for a read and returns its id. A read that the core can't
-// take now is asked again by tick.
-func (r *replica) ask(reply task.Reply[answer]) uint64 {
-	r.readID++
-	r.reads[r.readID] = &read{asked: time.Now(), reply: reply}
-	_ = r.core.Read(r.readID)
-	return r.readID
-}
-
-func (r *replica) finishRead(id uint64, q *read, err error) {
-	delete(r.reads, id)
-	if id == r.refresh {
-		r.refresh = 0
-	}
-	if err == nil && q.asked.After(r.confirmedAt) {
-		first := r.confirmedAt.IsZero()
-		r.confirmedAt = q.asked
-		r.publish(nil, first)
-	}
-	if q.reply != nil {
-		q.reply.Answer(answer{version: r.machine.state.Version, err: err})
-	}
-}
-
 // process does what the core owes until it owes nothing.
 func (r *replica) process(ctx context.Context) error {
 	for {
@@ -220,6 +172,11 @@
 			r.reportChanges()
 			return nil
 		}
+		if a.HardState == nil {
+			// The followers write while this replica does; it counts itself once
+			// its own write is synced (Ongaro's thesis, section 10.2.1).
+			a.Messages = r.sendAppends(a.Messages)
+		}
 		if err := r.store.Save(a); err != nil {
 			return err
 		}
@@ -273,20 +230,6 @@
 	return r.compact()
 }
 
-// confirm finishes the reads whose index the state machine has reached.
-func (r *replica) confirm(states []raft.ReadState) {
-	for _, s := range states {
-		if q, ok := r.reads[s.ID]; ok && !q.ready {
-			q.ready, q.index = true, s.Index
-		}
-	}
-	for id, q := range r.reads {
-		if q.ready && q.index <= r.machine.index {
-			r.finishRead(id, q, nil)
-		}
-	}
-}
-
 // publish hands out the state, once it was proved to be the newest at some time
 // of this run. Without a new state it hands out the newer proof.
 func (r *replica) publish(accepted []configsync.Accepted, changed bool) {
@@ -295,6 +238,7 @@
 	}
 	if changed && r.machine.state.Version >= r.state.Load().Version {
 		r.state.Publish(r.machine.state)
+		r.answerWaiters()
 	}
 	r.options.Changed(configsync.Update{
 		State: r.machine.state, Commands: accepted, ConfirmedAt: r.confirmedAt, Confirmed: true,
@@ -373,6 +317,9 @@
 	for id, q := range r.reads {
 		r.finishRead(id, q, result.New(result.Stopping, "registry"))
 	}
+	for _, w := range r.waiters {
+		w.question.reply.Answer(answer{err: result.New(result.CommitUnknown, "the registry stops here")})
+	}
 	for mailbox.Len() > 0 {
 		switch m := (<-mailbox.C()).(type) {
 		case proposal:
@@ -381,6 +328,8 @@
 			m.reply.Answer(answer{err: result.New(result.Stopping, "registry")})
 		case readQuestion:
 			m.reply.Answer(answer{err: result.New(result.Stopping, "registry")})
+		case reachQuestion:
+			m.reply.Answer(answer{err: result.New(result.CommitUnknown, "the registry stops here")})
 		}
 	}
 }
--- a/internal/registry/task_test.go
+++ b/internal/registry/task_test.go
@@ -352,3 +352,15 @@
 		n.stopAll()
 	})
 }
+
+// TestOnlyAnotherEntryProvesNotRun holds "a refusal that says not run is true":
+// the outcome at a proposal's index counts only in the proposal's term.
+func TestOnlyAnotherEntryProvesNotRun(t *testing.T) {
+	is := is.New(t)
+	_, err := settle(3, outcome{index: 7, term: 4, version: 9})
+	is.Equal(result.CodeOf(err), result.NoLeader)
+	is.Equal(result.From(err).Ran, result.NotRun)
+	a, err := settle(3, outcome{index: 7, term: 3, version: 9})
+	is.NoErr(err)
+	is.Equal(a.version, core.Version(9))
+}
--- /dev/null
+++ b/internal/storage/bench_test.go
@@ -0,0 +1,26 @@
+package storage
+
+import (
+	"testing"
+
+	"github.com/comfreynotch/comfreynotch/internal/raft"
+)
+
+// BenchmarkSave measures one synced batch of one entry on the machine's disk.
+func BenchmarkSave(b *testing.B) {
+	files, err := Folder(b.TempDir())
+	if err != nil {
+		b.Fatal(err)
+	}
+	s, _, err := Open(files)
+	if err != nil {
+		b.Fatal(err)
+	}
+	index := raft.Index(0)
+	for b.Loop() {
+		index++
+		if err := s.Save(batch(index, 1, 1)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
