Measure the age of a proof without the time that an answer was held

With holds of 1.5 s counted in, a member two hops below a voter took its coordinator's proof for too old and asked the voters instead. An answer now says how long it was held; polls hold for a second; a stopping daemon answers those who wait.

They were seen to fail with one member taken for a majority, with any proof taken for fresh and with merges of older versions. Over loopback and disks: five daemons with a voter restarted and another removed.

--- a/internal/configsync/sources.go
+++ b/internal/configsync/sources.go
@@ -12,6 +12,8 @@
 // maxAge is how old the proof behind a source's answers may be. Past it another
 // source is asked, so that daemons that are cut off together do not keep each
 // other content.
+//
+// A voter's proof is up to a second old; each hop below it adds holdTime.
 const maxAge = 3 * time.Second
 
 // Source is a daemon that can be asked.
--- a/internal/configsync/task.go
+++ b/internal/configsync/task.go
@@ -49,6 +49,7 @@
 
 type waiter struct {
 	version core.Version
+	asked   time.Time
 	until   time.Time
 	reply   task.Reply[Answer]
 }
@@ -88,6 +89,33 @@
 	return a, nil
 }
 
+// Reached waits until a version is in force at this daemon.
+func (t *Task) Reached(ctx context.Context, version core.Version) (*config.State, error) {
+	for t.Current().Version < version {
+		a, err := t.Watch(ctx, Question{Version: version - 1, Hold: maxHold})
+		if err == nil && a.Version < version {
+			err = sleep(ctx, rereadPause) // nothing is confirmed here yet
+		}
+		if err != nil {
+			return nil, result.Wrap(result.CommitUnknown, err,
+				"version %d is accepted but is not in force at this VM yet", version)
+		}
+	}
+	return t.Current(), nil
+}
+
+// sleep waits for a pause or the end of ctx, which is an error.
+func sleep(ctx context.Context, pause time.Duration) error {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-timer.C:
+		return nil
+	}
+}
+
 // Serve runs the task until ctx ends.
 func (t *Task) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(sweepPeriod)
@@ -95,6 +123,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			t.answerWaiters(func(waiter) bool { return true })
 			return ctx.Err()
 		case now := <-ticker.C:
 			t.answerWaiters(func(w waiter) bool { return now.After(w.until) })
@@ -138,14 +167,17 @@
 		q.reply.Answer(t.answer(q.Version))
 		return
 	}
-	t.waiters = append(t.waiters, waiter{q.Version, time.Now().Add(min(q.Hold, maxHold)), q.reply})
+	now := time.Now()
+	t.waiters = append(t.waiters, waiter{q.Version, now, now.Add(min(q.Hold, maxHold)), q.reply})
 }
 
 func (t *Task) answerWaiters(due func(waiter) bool) {
 	kept := t.waiters[:0]
 	for _, w := range t.waiters {
 		if due(w) {
-			w.reply.Answer(t.answer(w.version))
+			a := t.answer(w.version)
+			a.Held = time.Since(w.asked)
+			w.reply.Answer(a)
 			continue
 		}
 		kept = append(kept, w)
--- a/internal/configsync/task_poll.go
+++ b/internal/configsync/task_poll.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	holdTime     = 1500 * time.Millisecond
-	pollTimeout  = 2500 * time.Millisecond
+	holdTime     = time.Second
+	pollTimeout  = 2 * time.Second
 	firstTimeout = 500 * time.Millisecond // while nothing is confirmed
 	failurePause = 200 * time.Millisecond
 	rereadPause  = 20 * time.Millisecond
@@ -42,13 +42,7 @@
 func (p *Poller) Serve(ctx context.Context) error {
 	r := pollRun{Poller: p, state: p.Task.Current()}
 	for ctx.Err() == nil {
-		wait := r.poll(ctx)
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		_ = sleep(ctx, r.poll(ctx)) // the loop looks at ctx
 	}
 	return ctx.Err()
 }
@@ -90,7 +84,7 @@
 	if err == nil {
 		err = r.take(source, a, now)
 	}
-	if err != nil || !r.confirmed || !isFresh(a, now) {
+	if err != nil || !r.confirmed || !isFresh(a, provedAt(a, now)) {
 		r.choice.next(time.Now())
 	}
 	switch {
@@ -103,10 +97,16 @@
 	}
 }
 
-// isFresh reports whether the proof behind an answer to a question asked at
-// asked is young enough. The time of the whole poll counts.
-func isFresh(a Answer, asked time.Time) bool {
-	return a.Proved && a.Age+time.Since(asked) < maxAge+holdTime
+// isFresh reports whether the proof behind an answer is young enough.
+func isFresh(a Answer, provedAt time.Time) bool {
+	return a.Proved && time.Since(provedAt) < maxAge
+}
+
+// provedAt is a time, by this daemon's clock, at which the proof behind an
+// answer already held: before asked by its age, but for the time that the other
+// daemon held the answer back while the proof could be renewed.
+func provedAt(a Answer, asked time.Time) time.Time {
+	return asked.Add(a.Held - a.Age)
 }
 
 // take merges an answer and offers the outcome to the task.
@@ -122,13 +122,14 @@
 	r.state = next
 	u := Update{State: next, Commands: a.Commands}
 	if a.Proved && a.Version >= next.Version {
-		u.ConfirmedAt = asked.Add(-a.Age)
+		u.ConfirmedAt = provedAt(a, asked)
 	}
 	if source.Member != "" {
 		r.votes.add(source.Member)
 	}
-	if isFresh(a, asked) || r.votes.majority(next.Cells[r.Cell].Members) {
+	if !r.confirmed && (isFresh(a, provedAt(a, asked)) || r.votes.majority(next.Cells[r.Cell].Members)) {
 		r.confirmed = true
+		r.choice = choice{since: asked}
 	}
 	u.Confirmed = r.confirmed
 	r.Task.Offer(u)
@@ -175,18 +176,3 @@
 
 // Current returns the state in force at this daemon.
 func (r *Remote) Current() *config.State { return r.Task.Current() }
-
-// Reached waits until a version is in force at this daemon.
-func (t *Task) Reached(ctx context.Context, version core.Version) (*config.State, error) {
-	for t.Current().Version < version {
-		timer := time.NewTimer(rereadPause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return nil, result.Wrap(result.CommitUnknown, context.Cause(ctx),
-				"version %d is accepted but is not in force at this VM yet", version)
-		case <-timer.C:
-		}
-	}
-	return t.Current(), nil
-}
--- a/internal/configsync/update.go
+++ b/internal/configsync/update.go
@@ -40,6 +40,7 @@
 	Snapshot []byte        // a whole state in its stored form
 	Age      time.Duration // since Version was proved to be the registry's newest
 	Proved   bool          // Age is known
+	Held     time.Duration // how long the answer waited for something newer
 }
 
 // Codec turns commands and states into their stored form and back.
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -155,11 +155,11 @@
 	if c.replica == nil {
 		return c.remote.Propose(ctx, command)
 	}
-	s, err := c.replica.Propose(ctx, command)
+	version, err := c.replica.ProposeVersion(ctx, command)
 	if err != nil {
 		return nil, err
 	}
-	return c.copy.Reached(ctx, s.Version)
+	return c.copy.Reached(ctx, version)
 }
 
 // AddVoter makes a VM a voter of the registry once it has caught up.
--- a/internal/innerproto/registry.go
+++ b/internal/innerproto/registry.go
@@ -128,6 +128,7 @@
 	}
 	w := &innerpb.WatchAnswer{
 		Version: uint64(a.Version), Snapshot: a.Snapshot, AgeMicros: a.Age.Microseconds(), Proved: a.Proved,
+		HeldMicros: a.Held.Microseconds(),
 	}
 	for _, c := range a.Commands {
 		w.Commands = append(w.Commands, &innerpb.AcceptedCommand{Version: uint64(c.Version), Command: c.Command})
--- a/internal/innerproto/registry_client.go
+++ b/internal/innerproto/registry_client.go
@@ -103,6 +103,7 @@
 	a := configsync.Answer{
 		Version: core.Version(w.GetVersion()), Snapshot: w.GetSnapshot(),
 		Age: time.Duration(w.GetAgeMicros()) * time.Microsecond, Proved: w.GetProved(),
+		Held: time.Duration(w.GetHeldMicros()) * time.Microsecond,
 	}
 	for _, command := range w.GetCommands() {
 		a.Commands = append(a.Commands, configsync.Accepted{
