Tie the cell's source of tokens to its coordinator

Cause: each daemon held the cell's source for itself. Change: the cell's task publishes its own tenure, with its number and its end, and the quota task draws from the member that coordinates. Conclusion: one source for each cell at a time.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -51,6 +51,22 @@
 	return h.VM, live
 }
 
+// Tenure is a member's coordination of its cell. Tenures of one cell never
+// overlap.
+type Tenure struct {
+	Number lease.Number
+	Until  time.Time // by this member's clock; zero: it does not coordinate
+}
+
+// Tenure is this member's coordination at now.
+func (n *Node) Tenure(now time.Time) Tenure {
+	number, held := n.elector.Held(now)
+	if !held {
+		return Tenure{}
+	}
+	return Tenure{Number: number, Until: n.elector.Until()}
+}
+
 // SetConfig takes the configuration in force.
 func (n *Node) SetConfig(s *config.State, now time.Time) []Send {
 	n.state = s
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -65,6 +65,7 @@
 	table       task.Snapshot[Table]
 	lease       task.Snapshot[Lease]
 	coordinator task.Snapshot[core.VM]
+	tenure      task.Snapshot[Tenure]
 	changed     func(*Table)
 
 	state   *config.State
@@ -91,6 +92,7 @@
 		table:       task.NewSnapshot(NewTable(cell)),
 		lease:       task.NewSnapshot(&Lease{}),
 		coordinator: task.NewSnapshot(new(core.VM)),
+		tenure:      task.NewSnapshot(new(Tenure)),
 		changed:     changed,
 		state:       config.NewState(),
 	}
@@ -106,6 +108,9 @@
 // empty: none.
 func (t *Task) Coordinator() core.VM { return *t.coordinator.Load() }
 
+// Tenure is this member's own coordination of the cell; it ends by itself.
+func (t *Task) Tenure() Tenure { return *t.tenure.Load() }
+
 // Post delivers a message without waiting.
 func (t *Task) Post(m Message) error { return t.mailbox.Post(m) }
 
@@ -135,6 +140,7 @@
 	t.open = map[core.VM]int{}
 	t.table.Publish(NewTable(t.cell))
 	t.lease.Publish(&Lease{})
+	t.tenure.Publish(&Tenure{})
 	t.do(ctx, t.node.SetConfig(t.state, time.Now()))
 	t.do(ctx, t.node.SetTargets(t.targets, time.Now()))
 	t.do(ctx, t.node.SetFacts(t.facts, time.Now()))
@@ -188,6 +194,9 @@
 	if c, live := t.node.Coordinator(now); live && c != t.Coordinator() {
 		t.coordinator.Publish(&c)
 	}
+	if tenure := t.node.Tenure(now); tenure != t.Tenure() {
+		t.tenure.Publish(&tenure)
+	}
 	if table := t.node.Table(); table != t.Table() {
 		t.table.Publish(table)
 		t.changed(table)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -80,7 +80,7 @@
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
 	d.registry = registry.NewTask(initial, d.configChanged)
-	d.quota = quota.NewTask(self, core.Cell(s.Cell), authority{self: self}, innerproto.NewQuotaClient(http.DefaultClient), d.registry)
+	d.quota = quota.NewTask(self, core.Cell(s.Cell), authority{self: self, cell: d.cell}, innerproto.NewQuotaClient(http.DefaultClient), d.registry)
 	d.pipeline = &serve.Server{
 		Self:      self,
 		Config:    d.registry.State(),
--- a/internal/daemon/quota.go
+++ b/internal/daemon/quota.go
@@ -3,23 +3,36 @@
 import (
 	"time"
 
+	"github.com/comfreynotch/comfreynotch/internal/cell"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
 )
 
-// authority tells the quota task who holds the sources of tokens. A daemon that
-// is alone in the system holds both.
+// authority tells the quota task who holds the sources of tokens: the cell's
+// coordinator and the registry's leader.
 type authority struct {
 	self core.VM
+	cell *cell.Task
 }
 
-// alone is the length of a term that is renewed at each look.
-const alone = time.Minute
+// epochShift leaves room for a ballot below the epoch in one number.
+const epochShift = 48
 
-func (a authority) Coordinator() quota.Term { return a.own() }
+func (a authority) Coordinator() quota.Term {
+	if own := a.cell.Tenure(); time.Now().Before(own.Until) {
+		return quota.Term{
+			Holder: a.self,
+			Number: uint64(own.Number.Epoch)<<epochShift | own.Number.Ballot,
+			Until:  own.Until,
+		}
+	}
+	return quota.Term{Holder: a.cell.Coordinator()}
+}
 
-func (a authority) Leader() quota.Term { return a.own() }
+// alone is the length of a term that is renewed at each look.
+const alone = time.Minute
 
-func (a authority) own() quota.Term {
+// Leader is this daemon: a registry of one voter leads itself.
+func (a authority) Leader() quota.Term {
 	return quota.Term{Holder: a.self, Number: 1, Until: time.Now().Add(alone)}
 }
--- a/internal/quota/admission.go
+++ b/internal/quota/admission.go
@@ -12,7 +12,7 @@
 
 const (
 	tokenWait       = 250 * time.Millisecond  // longest wait of a request while its workspace is over its rate
-	unreachableWait = 1500 * time.Millisecond // longest wait while the source does not answer
+	unreachableWait = 2 * time.Second // longest wait while the source does not answer
 	maxWaiting      = 1024                    // requests of one workspace that wait at one daemon
 )
 
