--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -18,10 +17,10 @@
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
 	"github.com/comfreynotch/comfreynotch/internal/hotkeys"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
+	"github.com/comfreynotch/comfreynotch/internal/leadership"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
-	"github.com/comfreynotch/comfreynotch/internal/registry"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/task"
@@ -37,11 +36,12 @@
 	root      *suture.Supervisor
 	listeners listeners
 
-	registry   *registry.Task
+	registry   *configuration
 	recorder   *timeline.Recorder
 	membership *membership.Task
 	cell       *cell.Task
 	dispatch   *dispatch.Task
+	leadership *leadership.Task
 	quota      *quota.Task
 	hotkeys    *hotkeys.Task
 	policy     operators.Policy
@@ -60,11 +60,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("bind listeners: %w", err)
 	}
-	initial, err := bootstrapState(s)
-	if err != nil {
-		bound.close()
-		return nil, fmt.Errorf("first configuration: %w", err)
-	}
 	policy, err := operatorsPolicy(s.Operators)
 	if err != nil {
 		bound.close()
@@ -79,8 +74,12 @@
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
-	d.registry = registry.NewTask(initial, d.configChanged)
-	d.quota = quota.NewTask(self, core.Cell(s.Cell), authority{self: self, cell: d.cell}, innerproto.NewQuotaClient(http.DefaultClient), d.registry)
+	if d.registry, err = d.newConfiguration(); err != nil {
+		bound.close()
+		return nil, fmt.Errorf("registry: %w", err)
+	}
+	d.leadership = leadership.NewTask(self, d.registry)
+	d.quota = d.newQuota()
 	d.pipeline = &serve.Server{
 		Self:      self,
 		Config:    d.registry.State(),
@@ -111,11 +110,14 @@
 	})
 	d.root.Add(d.recorder)
 	d.root.Add(d.dispatch)
+	d.root.Add(d.leadership)
 	d.root.Add(d.quota)
 	d.root.Add(d.hotkeys)
 	d.root.Add(d.cell)
 	d.root.Add(d.membership)
-	d.root.Add(d.registry)
+	for _, s := range d.registry.tasks() {
+		d.root.Add(s)
+	}
 	for _, s := range d.servers() {
 		d.root.Add(s)
 	}
--- a/internal/daemon/quota.go
+++ b/internal/daemon/quota.go
@@ -1,18 +1,31 @@
 package daemon
 
 import (
+	"context"
+	"net/http"
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/cell"
 	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/innerproto"
+	"github.com/comfreynotch/comfreynotch/internal/leadership"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
+	"github.com/comfreynotch/comfreynotch/internal/result"
 )
 
+func (d *Daemon) newQuota() *quota.Task {
+	self := core.VM(d.settings.VM)
+	client := &http.Client{Transport: innerproto.StampedTransport(d.recorder, newInnerTransport())}
+	a := authority{self: self, cell: d.cell, leadership: d.leadership}
+	return quota.NewTask(self, core.Cell(d.settings.Cell), a, innerproto.NewQuotaClient(client), d.registry)
+}
+
 // authority tells the quota task who holds the sources of tokens: the cell's
 // coordinator and the registry's leader.
 type authority struct {
-	self core.VM
-	cell *cell.Task
+	self       core.VM
+	cell       *cell.Task
+	leadership *leadership.Task
 }
 
 // epochShift leaves room for a ballot below the epoch in one number.
@@ -29,10 +42,22 @@
 	return quota.Term{Holder: a.cell.Coordinator()}
 }
 
-// alone is the length of a term that is renewed at each look.
-const alone = time.Minute
-
-// Leader is this daemon: a registry of one voter leads itself.
 func (a authority) Leader() quota.Term {
-	return quota.Term{Holder: a.self, Number: 1, Until: time.Now().Add(alone)}
+	t := a.leadership.Tenure()
+	return quota.Term{Holder: t.Leader, Number: t.Term, From: t.From, Until: t.Until}
+}
+
+// Leadership returns who leads the registry.
+func (c *configuration) Leadership(ctx context.Context) (leadership.Status, error) {
+	s, err := c.Status(ctx)
+	return leadership.Status{Leader: s.Leader, Term: s.Term}, err
+}
+
+// Confirm returns once a majority has confirmed the leader.
+func (c *configuration) Confirm(ctx context.Context) error {
+	if c.replica == nil {
+		return result.New(result.NotOwner, "VM %s does not vote", c.self.VM)
+	}
+	_, err := c.replica.Read(ctx)
+	return err
 }
