--- a/bench/cluster/deployment.go
+++ b/bench/cluster/deployment.go
@@ -22,11 +22,12 @@
 
 // Service is one kind of target and how many run over all data centres.
 type Service struct {
-	Name    string
-	Keyed   bool
-	Shards  uint32
-	Targets int
-	Target  faketarget.Options // ID, data centre and addresses are filled in
+	Name     string
+	Keyed    bool
+	Shards   uint32
+	Targets  int
+	Deadline time.Duration      // 0: the system's default
+	Target   faketarget.Options // ID, data centre and addresses are filled in
 }
 
 // Workspace is one tenant.
--- a/bench/cluster/operators.go
+++ b/bench/cluster/operators.go
@@ -55,7 +55,7 @@
 		if err := c.PutWorkspace(ctx, w); err != nil {
 			return err
 		}
-		if err := c.createKey(ctx, w.Name); err != nil {
+		if err := c.CreateKey(ctx, w.Name, w.Name+"-key"); err != nil {
 			return err
 		}
 	}
@@ -68,6 +68,7 @@
 	return c.Retry(ctx, func(ctx context.Context, ops operatorspb.Operators) error {
 		_, err := ops.PutService(ctx, &operatorspb.PutServiceRequest{Change: change, Service: &operatorspb.Service{
 			Name: s.Name, Keyed: s.Keyed, Shards: s.Shards, ChecksFence: s.Target.ChecksFence, RepeatableGet: true,
+			DeadlineMs: s.Deadline.Milliseconds(),
 		}})
 		return err
 	})
@@ -97,14 +98,14 @@
 	})
 }
 
-// createKey grants a key whose secret is made here; a resend carries the same
-// request id and the same secret's hash.
-func (c *Cluster) createKey(ctx context.Context, workspace string) error {
+// CreateKey grants a caller key whose secret is made here; a resend carries the
+// same request id and the same secret's hash.
+func (c *Cluster) CreateKey(ctx context.Context, workspace, id string) error {
 	secret := rand.Text()
 	hash := config.HashSecret(secret)
 	request := &operatorspb.CreateCallerKeyRequest{
 		Change: &operatorspb.Change{RequestId: rand.Text()},
-		Id:     workspace + "-key", Workspace: workspace, SecretSha256: hash[:],
+		Id:     id, Workspace: workspace, SecretSha256: hash[:],
 	}
 	return c.Retry(ctx, func(ctx context.Context, ops operatorspb.Operators) error {
 		if _, err := ops.CreateCallerKey(ctx, request); err != nil {
@@ -114,3 +115,13 @@
 		return nil
 	})
 }
+
+// WithdrawKey withdraws a caller key. A key that is gone is a success, since the
+// first answer may have been lost.
+func (c *Cluster) WithdrawKey(ctx context.Context, id string) error {
+	change := &operatorspb.Change{RequestId: rand.Text()}
+	return c.Retry(ctx, func(ctx context.Context, ops operatorspb.Operators) error {
+		_, err := ops.WithdrawCallerKey(ctx, &operatorspb.WithdrawCallerKeyRequest{Change: change, Id: id})
+		return err
+	})
+}
--- a/bench/cluster/vm.go
+++ b/bench/cluster/vm.go
@@ -21,6 +21,7 @@
 	Callers    *relay.Relay
 	Targets    *relay.Relay
 	Operators  *relay.Relay
+	Starts     int // of the daemon so far
 
 	cluster  *Cluster
 	logger   log.Logger
@@ -49,11 +50,15 @@
 	if vm.Running() {
 		return nil
 	}
+	if err := vm.awaitEnd(); err != nil {
+		return err
+	}
 	if vm.Callers == nil {
 		if err := vm.bind(); err != nil {
 			return err
 		}
 	}
+	vm.Starts++
 	d, err := daemon.New(vm.settings, vm.logger)
 	if err != nil {
 		return fmt.Errorf("start %s: %w", vm.Name, err)
@@ -84,22 +89,35 @@
 	return nil
 }
 
+// BeginStop is a planned stop that does not wait; Start waits for its end.
+func (vm *VM) BeginStop() {
+	if vm.Running() {
+		vm.stop()
+		vm.stop = nil
+	}
+}
+
 // Stop is a planned stop: it waits until the daemon has ended.
 func (vm *VM) Stop() error {
-	if !vm.Running() {
+	vm.BeginStop()
+	return vm.awaitEnd()
+}
+
+func (vm *VM) awaitEnd() error {
+	if vm.stopped == nil {
 		return nil
 	}
-	vm.stop()
-	vm.stop = nil
-	return <-vm.stopped
+	err := <-vm.stopped
+	vm.stopped = nil
+	return err
 }
 
-// Crash is a loss: connections break at once, and nothing is said to peers.
-func (vm *VM) Crash() error {
+// Crash is a loss: every connection to the daemon breaks at once.
+func (vm *VM) Crash() {
 	for _, r := range vm.relays() {
 		r.Cut()
 	}
-	return vm.Stop()
+	vm.BeginStop()
 }
 
 // Isolate holds every byte towards the daemon, in silence.
--- a/bench/faketarget/model.go
+++ b/bench/faketarget/model.go
@@ -43,6 +43,7 @@
 	Key            string
 	Fence          core.Fence
 	Body           string
+	CallID         string // of the caller, from HeaderCallID
 	Incarnation    core.Incarnation
 	Start          time.Time
 	End            time.Time // zero while it runs
@@ -141,12 +142,9 @@
 	if m.connections[c] {
 		return verdict{silent: true}
 	}
-	if m.options.Shards > 0 && r.Key != "" {
-		shard := routing.Shard(r.Key, m.options.Shards)
-		if !m.grants.allows(r.Service, shard, r.Fence, now) {
-			m.counts.Refused++
-			return verdict{refused: true}
-		}
+	if m.refuses(r, now) {
+		m.counts.Refused++
+		return verdict{refused: true}
 	}
 	ramp := m.ramp(now)
 	work := m.work()
@@ -171,6 +169,25 @@
 	return m.admit(r, work, now)
 }
 
+// runUnseen records a request whose sender left while the stand-in was frozen:
+// it runs, as it does at a process that reads its socket after a pause.
+func (m *model) runUnseen(r Run, now time.Time) {
+	if m.refuses(r, now) {
+		m.counts.Refused++
+		return
+	}
+	r.Start, r.End, r.Incarnation, r.Cancelled = now, now, m.incarnation, true
+	m.counts.Runs++
+	m.runs = append(m.runs, r)
+}
+
+func (m *model) refuses(r Run, now time.Time) bool {
+	if m.options.Shards == 0 || r.Key == "" {
+		return false
+	}
+	return !m.grants.allows(r.Service, routing.Shard(r.Key, m.options.Shards), r.Fence, now)
+}
+
 func (m *model) work() time.Duration {
 	if m.straggle > 0 {
 		return time.Duration(float64(m.options.Work) * m.straggle)
--- a/bench/faketarget/target.go
+++ b/bench/faketarget/target.go
@@ -20,6 +20,9 @@
 	"github.com/comfreynotch/comfreynotch/internal/upstream"
 )
 
+// HeaderCallID carries a caller's own number of a call to the stand-in.
+const HeaderCallID = "Bench-Call-Id"
+
 const (
 	announcePeriod  = 500 * time.Millisecond
 	announceTimeout = 400 * time.Millisecond
@@ -119,7 +122,13 @@
 	}
 	run := t.runOf(r, string(body))
 	number, _ := r.Context().Value(connectionKey{}).(connection)
-	v, err := ask(r.Context(), t, func(m *model, now time.Time) verdict { return m.begin(number, run, now) })
+	v, err := ask(r.Context(), t, func(m *model, now time.Time) verdict {
+		if r.Context().Err() != nil {
+			m.runUnseen(run, now)
+			return verdict{silent: true}
+		}
+		return m.begin(number, run, now)
+	})
 	if err != nil {
 		return
 	}
@@ -154,6 +163,7 @@
 		Key:            r.Header.Get(upstream.HeaderKey),
 		Fence:          fence,
 		Body:           body,
+		CallID:         r.Header.Get(HeaderCallID),
 		SawCallerKey:   r.Header.Get("Authorization") != "",
 	}
 }
--- a/bench/load/driver.go
+++ b/bench/load/driver.go
@@ -64,7 +64,9 @@
 		sample.Outcome = MayHaveRun
 		return sample
 	}
-	sample.Outcome, sample.Target = judge(resp, data, body)
+	var answer faketarget.Answer
+	sample.Outcome, answer = Judge(resp, data, body)
+	sample.Target = answer.Target
 	return sample
 }
 
@@ -87,21 +89,22 @@
 	return req, nil
 }
 
-func judge(resp *http.Response, data []byte, body string) (Outcome, string) {
+// Judge tells what the caller of a request with this body learns from an answer.
+func Judge(resp *http.Response, data []byte, body string) (Outcome, faketarget.Answer) {
+	var a faketarget.Answer
 	switch {
 	case resp.StatusCode == http.StatusTooManyRequests:
-		return OverRate, ""
+		return OverRate, a
 	case resp.StatusCode == http.StatusOK:
-		var a faketarget.Answer
 		if json.Unmarshal(data, &a) != nil || a.Body != body {
-			return WrongAnswer, a.Target
+			return WrongAnswer, a
 		}
-		return Served, a.Target
+		return Served, a
 	case resp.Header.Get(gateway.HeaderRan) == result.NotRun.String():
-		return NotRun, ""
+		return NotRun, a
 	case resp.Header.Get(gateway.HeaderRan) == result.HasRun.String():
-		return RanFailed, ""
+		return RanFailed, a
 	default:
-		return MayHaveRun, ""
+		return MayHaveRun, a
 	}
 }
