Prove what was sent; retry, hedge, stream and spread by it

One shared http.Transport sent idempotent requests again by itself, could not bound or clear one target's connections, and a service's deadline cut long answers. Nothing was ever retried, and open services used one dispatcher.

Each target now has its own connection pool, owned by the upstream task. Every connection marks its writes, so that a failed request is "not run" exactly when no byte left and none can leave; net/http gets bodies that it cannot rewind. A request without a first byte for long (by the target's own quantiles) has a new connection probed; when that works, the silent one and all idle ones are dropped. Answers need exactly one matching id, are held to the service's size and stream above it, with a progress timeout in place of the deadline. Forwards carry the method, the length and the load in their metadata, and tell an interim response when an answer takes long, so that a silent connection between daemons shows as well.

serve tries again only where it came in: after "not run" always within deadline and budget, after "may have run" only what may be repeated, and waits for another table instead of polling. After the wait for a slot it checks lease, dispatcher and fence again. Open services prefer this daemon's free slots, then the less loaded of two dispatchers by the load that answers carry, then another cell; a data centre that is out gets nothing new.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,13 +15,13 @@
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
-	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/registry"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
+	"github.com/comfreynotch/comfreynotch/internal/spread"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
 	"github.com/comfreynotch/comfreynotch/internal/upstream"
@@ -41,6 +41,7 @@
 	dispatch   *dispatch.Task
 	quota      *quota.Task
 	policy     operators.Policy
+	serving    serving
 	pipeline   *serve.Server
 }
 
@@ -63,21 +64,14 @@
 	self := core.VM(s.VM)
 	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s), policy: policy}
 	d.dispatch = dispatch.NewTask(self)
+	d.serving = serving{upstream: upstream.New(self), spread: spread.NewTask()}
 	d.quota = quota.NewTask()
-	d.cell = cell.NewTask(self, core.Cell(s.Cell), d.dispatch.TableChanged)
+	d.cell = cell.NewTask(self, core.Cell(s.Cell), d.tableChanged)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
 	d.registry = registry.NewTask(initial, d.configChanged)
-	d.pipeline = &serve.Server{
-		Self:      self,
-		Config:    d.registry.State(),
-		Limiter:   d.quota,
-		Ownership: d.cell,
-		Slots:     d.dispatch,
-		Sender:    upstream.New(),
-		Forwarder: innerproto.NewForwarder(),
-	}
+	d.pipeline = d.newPipeline()
 	d.supervise()
 	return d, nil
 }
@@ -95,7 +89,7 @@
 		_ = level.Warn(d.logger).Log("msg", "task event", "event", event)
 	})
 	d.root.Add(d.recorder)
-	d.root.Add(d.dispatch)
+	d.superviseServing()
 	d.root.Add(d.quota)
 	d.root.Add(d.cell)
 	d.root.Add(d.membership)
--- /dev/null
+++ b/internal/daemon/serving.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"github.com/comfreynotch/comfreynotch/internal/cell"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/innerproto"
+	"github.com/comfreynotch/comfreynotch/internal/serve"
+	"github.com/comfreynotch/comfreynotch/internal/spread"
+	"github.com/comfreynotch/comfreynotch/internal/upstream"
+)
+
+// serving holds the tasks of a request's way beyond dispatch.
+type serving struct {
+	upstream *upstream.Client
+	spread   *spread.Task
+}
+
+// tableChanged hands a new table of the cell to the tasks that act on it.
+func (d *Daemon) tableChanged(t *cell.Table) {
+	d.dispatch.TableChanged(t)
+	d.serving.upstream.TableChanged(t)
+	d.serving.spread.TableChanged(t)
+}
+
+func (d *Daemon) newPipeline() *serve.Server {
+	return &serve.Server{
+		Self:      core.VM(d.settings.VM),
+		Config:    d.registry.State(),
+		Limiter:   d.quota,
+		Ownership: d.cell,
+		Slots:     d.dispatch,
+		Sender:    d.serving.upstream,
+		Forwarder: innerproto.NewForwarder(),
+		Spread:    d.serving.spread,
+	}
+}
+
+// superviseServing adds the tasks of a request's way.
+func (d *Daemon) superviseServing() {
+	d.root.Add(d.dispatch)
+	d.root.Add(d.serving.upstream)
+	d.root.Add(d.serving.spread)
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -34,7 +34,7 @@
 	Deadline  time.Time
 	Attempt   int           // earlier sends of the same request
 	Avoid     core.TargetID // not this one, if there is another
-	Hedge     bool          // only when a slot of another target is free now
+	IfFree    bool          // refused when no slot of a target other than Avoid is free now
 }
 
 // Slot is the permission to send one request to one target.
@@ -43,6 +43,7 @@
 	Fence      core.Fence
 	Patience   time.Duration // without a first byte, after which the connection is suspect
 	HedgeAfter time.Duration // without a first byte, after which a hedge pays; 0: not known
+	Load       uint32        // of the service here, in thousandths of what its targets bear
 }
 
 // Ticket identifies a waiting need.
@@ -170,7 +171,10 @@
 			return p.grants
 		}
 	}
-	if n.Hedge {
+	if n.IfFree {
+		if n.Attempt > 0 {
+			p.budget.Refund()
+		}
 		p.refuse(ticket, result.Overloaded)
 		return p.grants
 	}
@@ -187,10 +191,7 @@
 		return result.NotOwner
 	case n.Target == "" && len(p.present) == 0:
 		return result.NoTarget
-	case n.Attempt == 0:
-		p.budget.Deposit()
-		return result.OK
-	case !p.budget.Withdraw():
+	case n.Attempt > 0 && !p.budget.Withdraw():
 		return result.RetryBudgetSpent
 	}
 	return result.OK
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -115,7 +115,7 @@
 		Workspace: core.Workspace(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace")),
 		Deadline:  m.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "left")) * time.Millisecond),
 		Attempt:   rapid.IntRange(0, 1).Draw(t, "attempt"),
-		Hedge:     rapid.IntRange(0, 4).Draw(t, "hedge") == 0,
+		IfFree:    rapid.IntRange(0, 4).Draw(t, "if free") == 0,
 	}
 	if rapid.Bool().Draw(t, "keyed") {
 		n.Target = core.TargetID(fmt.Sprintf("t%d", rapid.IntRange(0, 3).Draw(t, "target")))
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -75,14 +75,30 @@
 }
 
 func (p *Pool) grant(ticket Ticket, t *target, n Need, now time.Time) {
+	if n.Attempt == 0 {
+		p.budget.Deposit()
+	}
 	t.take(now)
-	s := Slot{Target: t.info, Fence: n.Fence, Patience: t.patienceFor()}
+	s := Slot{Target: t.info, Fence: n.Fence, Patience: t.patienceFor(), Load: p.load(now)}
 	if n.Target == "" && p.latency.Count() >= hedgeSamples {
 		s.HedgeAfter = max(hedgeFactor*p.hedge.Get(&p.latency, hedgeQuantile), hedgeFloor)
 	}
 	p.grants = append(p.grants, Grant{Ticket: ticket, Slot: s})
 }
 
+// load is the number of requests in flight and waiting for each thousand that
+// the targets bear at once.
+func (p *Pool) load(now time.Time) uint32 {
+	borne, charge := 0, p.open.Len()
+	for _, t := range p.present {
+		borne += t.window.Limit(t.info.Slots, now)
+		charge += t.inFlight + t.queue.Len()
+	}
+	return uint32(charge * perThousand / max(borne, 1))
+}
+
+const perThousand = 1000
+
 func (p *Pool) pumpAll(now time.Time) []Grant {
 	for _, t := range p.present {
 		p.pumpTarget(t, now)
@@ -124,7 +140,7 @@
 // pick returns a target that may serve n now, or nil.
 func (p *Pool) pick(n Need, now time.Time) *target {
 	if n.Target == "" {
-		return p.choose(n.Avoid, n.Hedge, now)
+		return p.choose(n.Avoid, n.IfFree, now)
 	}
 	if t := p.targets[n.Target]; t.free(now) {
 		return t
--- a/internal/dispatch/target.go
+++ b/internal/dispatch/target.go
@@ -113,6 +113,9 @@
 	}
 	if o.Kind != slowstart.Unknown {
 		t.progress = now
+	} else if a.Latency > t.stats.Median() {
+		t.stats.Served(a.Latency) // cancelled: at least so slow
+		t.sampled = now
 	}
 }
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -25,9 +25,11 @@
 	Key            string // of a keyed service
 	Shard          core.Shard
 	Deadline       time.Time
-	Repeatable     bool   // may be sent more than once
-	IdempotencyKey string // empty: none
-	Forwards       int    // hops between daemons so far
+	Repeatable     bool          // may be sent more than once
+	IdempotencyKey string        // empty: none
+	Forwards       int           // hops between daemons so far
+	Attempt        int           // earlier sends of this request
+	Avoid          core.TargetID // the target of the newest one
 }
 
 // Answer is a target's answer. Either Body is whole, or Stream delivers the
@@ -37,15 +39,17 @@
 	Header Header
 	Body   []byte
 	Stream io.ReadCloser // nil when Body is whole
-	Length int64         // of Stream in bytes; -1 when unknown
+	Length int64         // of the body in bytes, as declared; -1 when unknown
+	NoBody bool          // the method or the status rules out a body; Length is still what it would be
 	Target core.TargetID
+	Load   uint32 // of the service at the daemon that dispatched it, in thousandths
 }
 
 // Attempt is what became of sending a request to one target.
 type Attempt struct {
 	Code    result.Code
 	Ran     result.Ran
-	Latency time.Duration // from sending to the first byte of the answer
+	Latency time.Duration // from sending to the first byte of the answer, or to the end without one
 	Status  int           // of the answer, 0 without one
 	// Streamed says that the answer streams, or streamed, after its first byte
 	// was reported.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,11 @@
 		WriteError(w, err)
 		return
 	}
+	if answer.Stream != nil && answer.Length < 0 && !req.ProtoAtLeast(1, 1) {
+		answer.Stream.Close()
+		WriteError(w, result.New(result.AnswerTooLarge, "HTTP/1.0 cannot show that an answer without a length broke off"))
+		return
+	}
 	WriteAnswer(w, answer)
 }
 
@@ -150,7 +155,7 @@
 // system may set.
 var hopByHop = []string{
 	"Authorization", "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	"Proxy-Connection", "Expect", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
 const systemPrefix = "Comfreynotch-"
@@ -173,8 +178,8 @@
 	return out
 }
 
-// WriteAnswer writes a whole answer, or streams one with its length. A stream
-// that ends early breaks the connection, so that the caller sees it.
+// WriteAnswer writes a whole answer, or streams one. A stream that ends early
+// breaks the connection, so that the caller sees it.
 func WriteAnswer(w http.ResponseWriter, a *exchange.Answer) {
 	header := w.Header()
 	for field, values := range StripHeader(a.Header) {
@@ -182,16 +187,16 @@
 	}
 	header.Set(HeaderResultCode, "0")
 	header.Set(HeaderRan, result.HasRun.String())
+	if a.Length >= 0 && a.Status != http.StatusNoContent {
+		header.Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	w.WriteHeader(a.Status)
 	if a.Stream == nil {
-		header.Set("Content-Length", strconv.Itoa(len(a.Body)))
-		w.WriteHeader(a.Status)
 		_, _ = w.Write(a.Body)
 		return
 	}
 	defer a.Stream.Close()
-	header.Set("Content-Length", strconv.FormatInt(a.Length, 10))
-	w.WriteHeader(a.Status)
-	if n, err := io.Copy(w, a.Stream); err != nil || n != a.Length {
+	if n, err := io.Copy(w, a.Stream); err != nil || a.Length >= 0 && n != a.Length {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/innerproto/forward.go
+++ b/internal/innerproto/forward.go
@@ -1,18 +1,17 @@
 package innerproto
 
 import (
-	"bytes"
 	"context"
 	"encoding/base64"
 	"errors"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/exchange"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto/innerpb"
@@ -23,9 +22,10 @@
 	forwardPath      = "/inner/v1/forward"
 	headerMeta       = "Comfreynotch-Inner-Meta"
 	headerResult     = "Comfreynotch-Inner-Result"
-	headerStatus     = "Comfreynotch-Inner-Status"
 	maxForwardedBody = 64 << 20 // bytes
-	maxHeldForward   = 1 << 20  // bytes
+	// ackAfter is when a daemon that has no answer yet tells that it has the
+	// request, by an interim response.
+	ackAfter = 100 * time.Millisecond
 )
 
 // Pipeline takes one request through its stages.
@@ -43,22 +43,47 @@
 			writeForwardError(w, err)
 			return
 		}
-		a, err := p.Serve(req.Context(), r)
-		if err != nil {
-			writeForwardError(w, err)
+		o := serveAcknowledged(req.Context(), w, p, r)
+		if o.err != nil {
+			writeForwardError(w, o.err)
 			return
 		}
-		writeForwardAnswer(w, a)
+		writeForwardAnswer(w, o.answer)
 	})
 	return mux
 }
 
+type forwardOutcome struct {
+	answer *exchange.Answer
+	err    error
+}
+
+// serveAcknowledged serves r and sends an interim response when that takes
+// long, so that the other daemon can tell a slow request from a connection that
+// went silent.
+func serveAcknowledged(ctx context.Context, w http.ResponseWriter, p Pipeline, r *exchange.Request) forwardOutcome {
+	ended := make(chan forwardOutcome, 1)
+	go func() {
+		answer, err := p.Serve(ctx, r)
+		ended <- forwardOutcome{answer, err}
+	}()
+	timer := time.NewTimer(ackAfter)
+	defer timer.Stop()
+	select {
+	case o := <-ended:
+		return o
+	case <-timer.C:
+		w.WriteHeader(http.StatusProcessing)
+		return <-ended
+	}
+}
+
 func readForward(req *http.Request) (*exchange.Request, error) {
 	var m innerpb.ForwardMeta
 	if err := decodeHeader(req.Header.Get(headerMeta), &m); err != nil {
 		return nil, result.Wrap(result.BadRequest, err, "forwarded request's metadata")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, req.Body, maxForwardedBody))
+	body, err := readAll(req)
 	if err != nil {
 		return nil, result.Wrap(result.BadRequest, err, "forwarded body broke off")
 	}
@@ -69,45 +94,59 @@
 		ID:             core.RequestID(m.Id),
 		Workspace:      core.Workspace(m.Workspace),
 		Service:        core.Service(m.Service),
-		Method:         req.Header.Get(headerMethod),
-		Path:           req.Header.Get(headerPath),
-		Header:         withoutInner(header),
+		Method:         m.Method,
+		Path:           m.Path,
+		Header:         header,
 		Body:           body,
 		Key:            m.Key,
 		Deadline:       time.Now().Add(time.Duration(m.TimeoutMicros) * time.Microsecond),
 		Repeatable:     m.Repeatable,
 		IdempotencyKey: m.IdempotencyKey,
 		Forwards:       int(m.Forwards),
+		Attempt:        int(m.Attempt),
+		Avoid:          core.TargetID(m.Avoid),
 	}, nil
 }
 
-const (
-	headerMethod = "Comfreynotch-Inner-Method"
-	headerPath   = "Comfreynotch-Inner-Path"
-)
-
-func withoutInner(h http.Header) exchange.Header {
-	h.Del(headerMethod)
-	h.Del(headerPath)
-	h.Del(headerResult)
-	h.Del(headerStatus)
-	return h
+func readAll(req *http.Request) ([]byte, error) {
+	if req.ContentLength < 0 {
+		return io.ReadAll(http.MaxBytesReader(nil, req.Body, maxForwardedBody))
+	}
+	if req.ContentLength > maxForwardedBody {
+		return nil, fmt.Errorf("length %d, want up to %d", req.ContentLength, maxForwardedBody)
+	}
+	body := make([]byte, req.ContentLength)
+	_, err := io.ReadFull(req.Body, body)
+	return body, err
 }
 
+// hopFields end at each hop between processes.
+var hopFields = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "Content-Length", headerResult}
+
 func writeForwardAnswer(w http.ResponseWriter, a *exchange.Answer) {
+	header := w.Header()
 	for field, values := range a.Header {
-		w.Header()[field] = values
+		header[field] = values
 	}
-	w.Header().Set(headerResult, encodeHeader(&innerpb.ForwardResult{
+	for _, field := range hopFields {
+		header.Del(field)
+	}
+	header.Set(headerResult, encodeHeader(&innerpb.ForwardResult{
 		Code: uint32(result.OK), Ran: uint32(result.HasRun), Target: string(a.Target),
+		Status: int32(a.Status), Length: a.Length, NoBody: a.NoBody, Load: a.Load,
 	}))
-	w.WriteHeader(a.Status)
 	if a.Stream == nil {
+		header.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		w.WriteHeader(http.StatusOK)
 		_, _ = w.Write(a.Body)
 		return
 	}
 	defer a.Stream.Close()
-	if n, err := io.Copy(w, a.Stream); err != nil || n != a.Length {
+	if a.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	w.WriteHeader(http.StatusOK)
+	if n, err := io.Copy(w, a.Stream); err != nil || a.Length >= 0 && n != a.Length {
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -117,80 +156,7 @@
 	w.Header().Set(headerResult, encodeHeader(&innerpb.ForwardResult{
 		Code: uint32(e.Code), Ran: uint32(e.Ran), Detail: e.Detail, RetryAfterMicros: e.RetryAfter.Microseconds(),
 	}))
-	w.WriteHeader(e.Code.Info().HTTPStatus)
-}
-
-// Forwarder sends requests to other daemons over pooled connections.
-type Forwarder struct{ transport *http.Transport }
-
-// NewForwarder returns a forwarder without open connections.
-func NewForwarder() *Forwarder {
-	dialer := &net.Dialer{Timeout: 500 * time.Millisecond}
-	return &Forwarder{transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 256,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-	}}
-}
-
-// Forward sends r to another daemon and returns its answer or its refusal.
-func (f *Forwarder) Forward(ctx context.Context, to config.VM, r *exchange.Request) (*exchange.Answer, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.InnerAddress+forwardPath, bytes.NewReader(r.Body))
-	if err != nil {
-		return nil, result.Wrap(result.BadRequest, err, "forward to %s", to.Name)
-	}
-	for field, values := range r.Header {
-		req.Header[field] = values
-	}
-	req.Header.Set(headerMethod, r.Method)
-	req.Header.Set(headerPath, r.Path)
-	req.Header.Set(headerMeta, encodeHeader(&innerpb.ForwardMeta{
-		Id: string(r.ID), Workspace: string(r.Workspace), Service: string(r.Service), Key: r.Key,
-		TimeoutMicros: time.Until(r.Deadline).Microseconds(), Repeatable: r.Repeatable,
-		IdempotencyKey: r.IdempotencyKey, Forwards: int32(r.Forwards),
-	}))
-	resp, err := f.transport.RoundTrip(req)
-	if err != nil {
-		return nil, classifyForward(err, to)
-	}
-	return readForwardAnswer(resp, to)
-}
-
-func classifyForward(err error, to config.VM) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return result.Wrap(result.CellUnreachable, err, "VM %s", to.Name)
-	}
-	return result.Wrap(result.ForwardLost, err, "VM %s", to.Name)
-}
-
-func readForwardAnswer(resp *http.Response, to config.VM) (*exchange.Answer, error) {
-	var m innerpb.ForwardResult
-	if err := decodeHeader(resp.Header.Get(headerResult), &m); err != nil {
-		resp.Body.Close()
-		return nil, result.Wrap(result.ForwardLost, err, "answer of VM %s", to.Name)
-	}
-	if m.Code != uint32(result.OK) {
-		resp.Body.Close()
-		e := result.New(result.Code(m.Code), "%s", m.Detail)
-		e.Ran = result.Ran(m.Ran)
-		e.RetryAfter = time.Duration(m.RetryAfterMicros) * time.Microsecond
-		return nil, e
-	}
-	resp.Header.Del(headerResult)
-	a := &exchange.Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Target: core.TargetID(m.Target)}
-	if resp.ContentLength < 0 || resp.ContentLength > maxHeldForward {
-		a.Stream = resp.Body
-		return a, nil
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return nil, result.Wrap(result.ForwardLost, err, "answer of VM %s broke off", to.Name)
-	}
-	a.Body = body
-	return a, nil
+	w.WriteHeader(http.StatusOK)
 }
 
 func encodeHeader(m proto.Message) string {
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -37,6 +37,9 @@
 	return true
 }
 
+// Refund returns what was withdrawn for a send that did not happen.
+func (b *Budget) Refund() { b.tokens = min(b.tokens+1, reserve) }
+
 // Action says what becomes of a failed request.
 type Action uint8
 
@@ -66,7 +69,8 @@
 		return Decision{Action: GiveUp}
 	}
 	switch err.Code {
-	case result.NotOwner, result.ShardUnassigned, result.NoLease, result.NoTarget:
+	case result.NotOwner, result.ShardUnassigned, result.NoLease, result.NoTarget,
+		result.DataCentreOut:
 		h.Moves++
 		return wait(h.Moves, maxMoves, left)
 	case result.CellUnreachable:
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -4,6 +4,8 @@
 package routing
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/comfreynotch/comfreynotch/internal/cell"
@@ -11,9 +13,11 @@
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/exchange"
 	"github.com/comfreynotch/comfreynotch/internal/result"
+	"github.com/comfreynotch/comfreynotch/internal/spread"
 )
 
-// MaxForwards bounds the hops between daemons of one request.
+// MaxForwards bounds the hops between daemons of one request: one to the home
+// cell and one to the dispatcher in it.
 const MaxForwards = 2
 
 // Shard returns the shard of a key.
@@ -21,71 +25,126 @@
 	return core.Shard(xxhash.Sum64String(key) % uint64(shards))
 }
 
-// Step is where a request goes next. Either Forward names a daemon, or the
-// request is dispatched here: to Target when it is set, else to any target of
-// the service.
+// Step is where a request goes next. Without Here it is forwarded to Forward.
+// With Here it is dispatched: to Target when that is set, else to any target of
+// the service; if none is free and Forward is set, it is forwarded after all.
 type Step struct {
+	Here    bool
 	Forward core.VM
 	Target  core.TargetID
 	Fence   core.Fence
 }
 
-// Route returns the next step of r at daemon self.
-func Route(self core.VM, state *config.State, table *cell.Table, r *exchange.Request) (Step, error) {
-	svc, ok := state.Services[r.Service]
+// Place is what a daemon knows when it routes a request.
+type Place struct {
+	Self   core.VM
+	State  *config.State
+	Table  *cell.Table
+	View   *spread.View
+	Now    time.Time
+	Random uint64
+}
+
+// Route returns the next step of r.
+func Route(p Place, r *exchange.Request) (Step, error) {
+	svc, ok := p.State.Services[r.Service]
 	if !ok {
 		return Step{}, result.New(result.UnknownService, "service %s", r.Service)
 	}
-	if r.Forwards > MaxForwards {
+	step, err := route(p, svc, r)
+	if err != nil {
+		return Step{}, err
+	}
+	if !step.Here && r.Forwards >= MaxForwards {
 		return Step{}, result.New(result.TooManyForwards, "request was forwarded %d times", r.Forwards)
 	}
+	return step, nil
+}
+
+func route(p Place, svc config.Service, r *exchange.Request) (Step, error) {
 	if svc.Keyed {
-		return routeKeyed(self, state, table, r)
+		return routeKeyed(p, r)
 	}
-	return routeOpen(self, table, r)
+	return routeOpen(p, r)
 }
 
-func routeKeyed(self core.VM, state *config.State, table *cell.Table, r *exchange.Request) (Step, error) {
-	home, ok := state.Home(r.Service, r.Shard)
+func routeKeyed(p Place, r *exchange.Request) (Step, error) {
+	home, ok := p.State.Home(r.Service, r.Shard)
 	if !ok {
 		return Step{}, result.New(result.ShardUnassigned, "shard %d of %s has no home", r.Shard, r.Service)
 	}
-	if home != table.Cell {
-		return toCell(state, home, r)
+	if !takesWork(p.State, home) {
+		return Step{}, result.New(result.DataCentreOut, "the home of shard %d of %s is out", r.Shard, r.Service)
 	}
-	a, entry, ok := table.Owner(r.Service, r.Shard)
+	if home != p.Table.Cell {
+		return toCell(p, home, uint64(r.Shard)+uint64(r.Attempt))
+	}
+	a, entry, ok := p.Table.Owner(r.Service, r.Shard)
 	if !ok {
 		return Step{}, result.New(result.ShardUnassigned, "shard %d of %s has no owner", r.Shard, r.Service)
 	}
-	if entry.Dispatcher != self {
+	if entry.Dispatcher != p.Self {
 		return Step{Forward: entry.Dispatcher}, nil
 	}
-	return Step{Target: a.Target, Fence: a.Fence}, nil
+	return Step{Here: true, Target: a.Target, Fence: a.Fence}, nil
 }
 
-// toCell picks a member of the home cell by the request's shard, so that the
-// requests of one shard share a connection.
-func toCell(state *config.State, home core.Cell, r *exchange.Request) (Step, error) {
-	members := state.Cells[home].Members
+// takesWork reports whether the cell's data centre takes new work. One that is
+// leaving still does, for the shards that it has not handed over.
+func takesWork(s *config.State, c core.Cell) bool {
+	status := s.DataCentres[s.Cells[c].DataCentre].Status
+	return status == config.DataCentreIn || status == config.DataCentreLeaving
+}
+
+// toCell picks a member of a cell by number, so that equal numbers share a
+// connection.
+func toCell(p Place, c core.Cell, number uint64) (Step, error) {
+	members := p.State.Cells[c].Members
 	if len(members) == 0 {
-		return Step{}, result.New(result.CellUnreachable, "cell %s has no members", home)
+		return Step{}, result.New(result.CellUnreachable, "cell %s has no members", c)
 	}
-	return Step{Forward: members[int(r.Shard)%len(members)]}, nil
+	return Step{Forward: members[number%uint64(len(members))]}, nil
 }
 
-func routeOpen(self core.VM, table *cell.Table, r *exchange.Request) (Step, error) {
-	var other core.VM
-	for _, e := range table.Targets {
-		if e.Target.Service != r.Service || e.Target.Leaving {
+// routeOpen prefers this daemon's own targets, then those of the cell, then
+// another cell, which only the daemon where the request came in may pick.
+func routeOpen(p Place, r *exchange.Request) (Step, error) {
+	if p.State.DataCentres[p.State.Cells[p.Table.Cell].DataCentre].Status != config.DataCentreIn {
+		return toOtherCell(p, r, result.DataCentreOut)
+	}
+	here := p.View.Dispatches(p.Self, r.Service)
+	if here && r.Forwards > 0 {
+		return Step{Here: true}, nil
+	}
+	other, ok := p.View.Choose(p.Self, r.Service, p.Now, p.Random)
+	switch {
+	case here && ok && p.View.Load(other, r.Service, p.Now) < spread.Full:
+		return Step{Here: true, Forward: other}, nil
+	case here:
+		return Step{Here: true}, nil
+	case ok:
+		return Step{Forward: other}, nil
+	}
+	return toOtherCell(p, r, result.NoTarget)
+}
+
+// toOtherCell picks a member of another cell at random, or refuses with code.
+func toOtherCell(p Place, r *exchange.Request, code result.Code) (Step, error) {
+	if r.Forwards > 0 {
+		return Step{}, result.New(code, "cell %s has no target of %s that takes work", p.Table.Cell, r.Service)
+	}
+	var chosen core.Cell
+	lowest := uint64(0)
+	for name, c := range p.State.Cells {
+		if name == p.Table.Cell || len(c.Members) == 0 || p.State.DataCentres[c.DataCentre].Status != config.DataCentreIn {
 			continue
 		}
-		if e.Dispatcher == self {
-			return Step{}, nil
+		if rank := xxhash.Sum64String(string(name)) * (p.Random | 1); chosen == "" || rank < lowest {
+			chosen, lowest = name, rank
 		}
-		other = e.Dispatcher
 	}
-	if other == "" {
-		return Step{}, result.New(result.NoTarget, "no target of %s is known", r.Service)
+	if chosen == "" {
+		return Step{}, result.New(code, "no cell has a target of %s that takes work", r.Service)
 	}
-	return Step{Forward: other}, nil
+	return toCell(p, chosen, p.Random>>32)
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -1,11 +1,12 @@
 // Package serve takes one request through its stages: rate, route, then either
 // a slot and a target or a forward to another daemon. The goroutine that calls
 // it owns the request from its first byte to its last. It knows no encoding, so
-// that any front end can use it.
+// that any front end can use it. Decisions on retries are in package retry.
 package serve
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/cell"
@@ -14,7 +15,9 @@
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
 	"github.com/comfreynotch/comfreynotch/internal/exchange"
 	"github.com/comfreynotch/comfreynotch/internal/result"
+	"github.com/comfreynotch/comfreynotch/internal/retry"
 	"github.com/comfreynotch/comfreynotch/internal/routing"
+	"github.com/comfreynotch/comfreynotch/internal/spread"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
 
@@ -32,7 +35,11 @@
 // Slots hands out slots of the targets that this daemon dispatches.
 type Slots interface {
 	Acquire(ctx context.Context, n dispatch.Need) (dispatch.Slot, error)
+	FirstByte(s dispatch.Slot, a exchange.Attempt)
 	Release(s dispatch.Slot, a exchange.Attempt)
+	// AwaitTable returns when the table is another than the one with fence
+	// seen, or at the end of ctx.
+	AwaitTable(ctx context.Context, seen core.Fence)
 }
 
 // Sender sends a request to one target and returns its answer.
@@ -45,6 +52,12 @@
 	Forward(ctx context.Context, to config.VM, r *exchange.Request) (*exchange.Answer, error)
 }
 
+// Spread knows the load of the cell's dispatchers.
+type Spread interface {
+	View() *spread.View
+	Observe(vm core.VM, service core.Service, load spread.Load)
+}
+
 // Server takes requests through their stages.
 type Server struct {
 	Self      core.VM
@@ -54,22 +67,68 @@
 	Slots     Slots
 	Sender    Sender
 	Forwarder Forwarder
+	Spread    Spread
 }
 
 // Serve admits, routes and runs r. On an error the answer is nil and the error
-// carries a result code.
+// carries a result code. The deadline ends with the first byte of an answer
+// that streams; the caller closes the stream.
 func (s *Server) Serve(ctx context.Context, r *exchange.Request) (*exchange.Answer, error) {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	answer, err := s.serve(ctx, r)
+	ctx, cancel := context.WithCancelCause(ctx)
+	deadline := time.AfterFunc(time.Until(r.Deadline), func() { cancel(context.DeadlineExceeded) })
+	answer, err := s.admitted(ctx, r)
+	deadline.Stop()
 	if err != nil || answer.Stream == nil {
-		cancel()
+		cancel(nil)
 		return answer, err
 	}
-	answer.Stream = closeThen{answer.Stream, cancel}
+	answer.Stream = closeThen{answer.Stream, func() { cancel(nil) }}
 	return answer, nil
 }
 
-func (s *Server) serve(ctx context.Context, r *exchange.Request) (*exchange.Answer, error) {
+// admitted counts r where it came in and serves it until it is answered, or
+// until nothing can be gained by another attempt. Only the daemon where it came
+// in tries again.
+func (s *Server) admitted(ctx context.Context, r *exchange.Request) (*exchange.Answer, error) {
+	if r.Forwards > 0 {
+		return s.attempt(ctx, r)
+	}
+	if err := s.Limiter.Admit(ctx, r.Workspace); err != nil {
+		return nil, err
+	}
+	var history retry.History
+	var first error
+	for {
+		seen := s.Ownership.Table().Fence
+		r.Forwards, r.Attempt = 0, history.Attempts
+		answer, err := s.attempt(ctx, r)
+		if err == nil {
+			return answer, nil
+		}
+		e := result.From(err)
+		if e.Code == result.RetryBudgetSpent && first != nil {
+			return nil, first
+		}
+		d := retry.Next(&history, e, r.Repeatable, time.Until(r.Deadline))
+		if d.Action == retry.GiveUp || ctx.Err() != nil {
+			return nil, err
+		}
+		first = err
+		if d.Action == retry.AwaitTable {
+			s.await(ctx, seen, d.Wait)
+		}
+	}
+}
+
+// await waits for another table, for at most d.
+func (s *Server) await(ctx context.Context, seen core.Fence, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	s.Slots.AwaitTable(ctx, seen)
+}
+
+// attempt routes r once and serves it here or forwards it.
+func (s *Server) attempt(ctx context.Context, r *exchange.Request) (*exchange.Answer, error) {
 	state := s.Config.Load()
 	svc, ok := state.Services[r.Service]
 	if !ok {
@@ -78,19 +137,17 @@
 	if svc.Keyed {
 		r.Shard = routing.Shard(r.Key, svc.Shards)
 	}
-	if r.Forwards == 0 {
-		if err := s.Limiter.Admit(ctx, r.Workspace); err != nil {
-			return nil, err
-		}
-	}
-	step, err := routing.Route(s.Self, state, s.Ownership.Table(), r)
+	step, err := routing.Route(routing.Place{
+		Self: s.Self, State: state, Table: s.Ownership.Table(), View: s.Spread.View(),
+		Now: time.Now(), Random: rand.Uint64(),
+	}, r)
 	if err != nil {
 		return nil, err
 	}
-	if step.Forward != "" {
+	if !step.Here {
 		return s.forward(ctx, state, step.Forward, r)
 	}
-	return s.dispatch(ctx, svc, step, r)
+	return s.dispatch(ctx, state, svc, step, r)
 }
 
 func (s *Server) forward(ctx context.Context, state *config.State, to core.VM, r *exchange.Request) (*exchange.Answer, error) {
@@ -99,30 +156,86 @@
 		return nil, result.New(result.CellUnreachable, "no address of VM %s is known", to)
 	}
 	r.Forwards++
-	return s.Forwarder.Forward(ctx, vm, r)
+	answer, err := s.Forwarder.Forward(ctx, vm, r)
+	switch {
+	case err == nil:
+		s.Spread.Observe(to, r.Service, spread.Load(answer.Load))
+	case result.CodeOf(err) == result.Overloaded:
+		s.Spread.Observe(to, r.Service, overloadedLoad)
+	}
+	return answer, err
 }
 
-func (s *Server) dispatch(ctx context.Context, svc config.Service, step routing.Step, r *exchange.Request) (*exchange.Answer, error) {
-	slot, err := s.Slots.Acquire(ctx, dispatch.Need{
+// overloadedLoad stands for a dispatcher that refused for want of room.
+const overloadedLoad = 2 * spread.Full
+
+func (s *Server) dispatch(ctx context.Context, state *config.State, svc config.Service, step routing.Step, r *exchange.Request) (*exchange.Answer, error) {
+	need := dispatch.Need{
 		Service:   r.Service,
 		Workspace: r.Workspace,
 		Target:    step.Target,
 		Fence:     step.Fence,
 		Deadline:  r.Deadline,
-	})
+		Attempt:   r.Attempt,
+		Avoid:     r.Avoid,
+	}
+	slot, err := s.acquire(ctx, need, step.Forward != "")
 	if err != nil {
+		if step.Forward != "" && result.CodeOf(err) == result.Overloaded {
+			return s.forward(ctx, state, step.Forward, r)
+		}
 		return nil, err
 	}
+	if err := s.mayStillSend(slot, r); err != nil {
+		s.Slots.Release(slot, exchange.Attempt{Code: err.Code, Ran: err.Ran})
+		return nil, err
+	}
+	if r.Repeatable && step.Target == "" && slot.HedgeAfter > 0 {
+		return s.hedged(ctx, svc, slot, need, r)
+	}
+	return s.send(ctx, svc, slot, r)
+}
+
+// acquire waits for a slot, or takes one only if it is free now.
+func (s *Server) acquire(ctx context.Context, n dispatch.Need, ifFree bool) (dispatch.Slot, error) {
+	n.IfFree = ifFree
+	return s.Slots.Acquire(ctx, n)
+}
+
+// mayStillSend checks, after the wait for a slot, that this daemon still holds
+// the right to send to the target, and the target the shard.
+func (s *Server) mayStillSend(slot dispatch.Slot, r *exchange.Request) *result.Error {
+	table := s.Ownership.Table()
 	if !s.Ownership.Lease().Live(time.Now()) {
-		refusal := result.New(result.NoLease, "this daemon's lease in cell %s has run out", s.Ownership.Table().Cell)
-		s.Slots.Release(slot, exchange.Attempt{Code: refusal.Code, Ran: refusal.Ran})
-		return nil, refusal
+		return result.New(result.NoLease, "this daemon's lease in cell %s has run out", table.Cell)
+	}
+	if table.Targets[slot.Target.ID].Dispatcher != s.Self {
+		return result.New(result.NotOwner, "target %s has another dispatcher", slot.Target.ID)
+	}
+	if slot.Fence.IsZero() {
+		return nil
+	}
+	if a, _, ok := table.Owner(r.Service, r.Shard); !ok || a.Target != slot.Target.ID || a.Fence != slot.Fence {
+		return result.New(result.NotOwner, "shard %d of %s moved", r.Shard, r.Service)
 	}
+	return nil
+}
+
+// send sends r on a slot and gives the slot back with the last byte of the
+// answer.
+func (s *Server) send(ctx context.Context, svc config.Service, slot dispatch.Slot, r *exchange.Request) (*exchange.Answer, error) {
 	answer, attempt, err := s.Sender.Send(ctx, slot, svc, r)
+	if err != nil {
+		r.Avoid = slot.Target.ID
+	} else {
+		answer.Load = slot.Load
+	}
 	if err != nil || answer.Stream == nil {
 		s.Slots.Release(slot, attempt)
 		return answer, err
 	}
+	s.Slots.FirstByte(slot, attempt)
+	attempt.Streamed = true
 	answer.Stream = closeThen{answer.Stream, func() { s.Slots.Release(slot, attempt) }}
 	return answer, nil
 }
--- a/internal/shape/shape_test.go
+++ b/internal/shape/shape_test.go
@@ -20,6 +20,7 @@
 	"task": true, "innerproto": true, "innerpb": true, "gateway": true, "upstream": true,
 	"announce": true, "operators": true, "daemon": true, "telemetry": true, "settings": true,
 	"storage": true, "serve": true, "security": true, "shape": true,
+	"witness": true,
 }
 
 // TestDecisionsHaveNoGoroutine holds the shape: state is owned by tasks, and
--- /dev/null
+++ b/internal/upstream/classify.go
@@ -0,0 +1,38 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+
+	"github.com/comfreynotch/comfreynotch/internal/dispatch"
+	"github.com/comfreynotch/comfreynotch/internal/result"
+	"github.com/comfreynotch/comfreynotch/internal/upstream/witness"
+)
+
+// classify turns the error of a request without an answer into a result that
+// says what is proved of it.
+func classify(ctx context.Context, w *witness.Witness, err error, s dispatch.Slot) *result.Error {
+	e := result.Wrap(codeOf(ctx, w), err, "target %s", s.Target.ID)
+	if w.NotSent() {
+		e.Ran = result.NotRun
+	} else {
+		e.Ran = result.MayHaveRun
+	}
+	return e
+}
+
+func codeOf(ctx context.Context, w *witness.Witness) result.Code {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errSilent):
+		return result.ConnectionLost
+	case errors.Is(cause, context.DeadlineExceeded):
+		return result.TargetTimeout
+	case cause != nil:
+		return result.CallerGone
+	case !w.Connected():
+		return result.ConnectFailed
+	default:
+		return result.ConnectionLost
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -1,14 +1,15 @@
 // Package upstream is the edge to targets: it sends a request to one target
-// over HTTP and proves that the answer is whole and belongs to the request.
+// over HTTP, proves what may have run, and proves that an answer is whole and
+// belongs to the request. Decisions about targets are in package dispatch.
+// Task: task.go, which owns the connection pools. The goroutine that calls Send
+// owns its request and connection until the answer ends.
 package upstream
 
 import (
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
 	"github.com/comfreynotch/comfreynotch/internal/exchange"
 	"github.com/comfreynotch/comfreynotch/internal/result"
+	"github.com/comfreynotch/comfreynotch/internal/upstream/witness"
 )
 
 // Header fields between the system and its targets.
@@ -29,62 +31,86 @@
 	HeaderNotRun    = "Comfreynotch-Not-Run"     // "1" in an answer: the target shed the request
 )
 
-const (
-	dialTimeout       = time.Second
-	idleTimeout       = 30 * time.Second
-	maxIdlePerTarget  = 128
-	defaultHeldAnswer = 1 << 20 // bytes
-)
-
-// Client sends requests to targets over pooled connections.
-type Client struct{ transport *http.Transport }
+// lastingPatience multiplies the patience with a request that may not be
+// repeated, since giving it up early leaves its caller without an outcome.
+const lastingPatience = 4
 
-// New returns a client without open connections.
-func New() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdlePerTarget,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}}
-}
-
-// Close drops the idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+// errSilent ends a request whose connection makes no progress while a new one
+// to the same target works.
+var errSilent = errors.New("connection is silent while new ones work")
 
-// Send sends r to the slot's target. The attempt says what became of it also
-// when the answer is an error.
+// Send sends r to the slot's target, once. The attempt says what became of it
+// also when the answer is an error.
 func (c *Client) Send(ctx context.Context, s dispatch.Slot, svc config.Service, r *exchange.Request) (*exchange.Answer, exchange.Attempt, error) {
-	req, err := newRequest(ctx, s, r)
+	p, err := c.path(ctx, s.Target, svc)
+	if err != nil {
+		return fail(result.Wrap(result.Overloaded, err, "no connection pool for target %s", s.Target.ID))
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	var w witness.Witness
+	req, err := newRequest(w.Trace(ctx), s, r)
 	if err != nil {
+		cancel(nil)
 		return fail(result.Wrap(result.BadRequest, err, "request cannot be sent"))
 	}
+	answered := make(chan struct{})
+	patience := time.AfterFunc(patienceFor(s, r), func() {
+		c.suspect(p, func() { abortUnless(answered, cancel) })
+	})
 	start := time.Now()
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := p.transport.RoundTrip(req)
+	latency := time.Since(start)
+	close(answered)
+	patience.Stop()
 	if err != nil {
-		return fail(classify(ctx, err, s))
+		e := classify(ctx, &w, err, s)
+		cancel(nil)
+		return nil, exchange.Attempt{Code: e.Code, Ran: e.Ran, Latency: latency}, e
 	}
-	attempt := exchange.Attempt{Ran: result.HasRun, Latency: time.Since(start), Status: resp.StatusCode}
+	attempt := exchange.Attempt{Ran: result.HasRun, Latency: latency, Status: resp.StatusCode}
 	answer, err := readAnswer(resp, s, svc, r)
 	if err != nil {
 		e := result.From(err)
+		if e.Code == result.AnswerMismatch {
+			w.Drop()
+		}
+		cancel(nil)
 		attempt.Code, attempt.Ran = e.Code, e.Ran
 		return nil, attempt, e
 	}
+	if answer.Stream == nil {
+		cancel(nil)
+		return answer, attempt, nil
+	}
+	answer.Stream = newProgressReader(answer.Stream, cancel)
 	return answer, attempt, nil
 }
 
+func abortUnless(answered <-chan struct{}, cancel context.CancelCauseFunc) {
+	select {
+	case <-answered:
+	default:
+		cancel(errSilent)
+	}
+}
+
+func patienceFor(s dispatch.Slot, r *exchange.Request) time.Duration {
+	if r.Repeatable {
+		return s.Patience
+	}
+	return lastingPatience * s.Patience
+}
+
 func fail(e *result.Error) (*exchange.Answer, exchange.Attempt, error) {
 	return nil, exchange.Attempt{Code: e.Code, Ran: e.Ran}, e
 }
 
 func newRequest(ctx context.Context, s dispatch.Slot, r *exchange.Request) (*http.Request, error) {
-	url := "http://" + s.Target.Address + r.Path
-	req, err := http.NewRequestWithContext(ctx, r.Method, url, bytes.NewReader(r.Body))
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+s.Target.Address+r.Path, nil)
 	if err != nil {
-		return nil, fmt.Errorf("build request: %w", err)
+		return nil, err
 	}
+	setBody(req, r)
 	for name, values := range r.Header {
 		req.Header[name] = values
 	}
@@ -94,50 +120,19 @@
 		req.Header.Set(HeaderKey, r.Key)
 		req.Header.Set(HeaderFence, s.Fence.String())
 	}
-	left := time.Until(r.Deadline).Milliseconds()
+	left := max(time.Until(r.Deadline).Milliseconds(), 0)
 	req.Header.Set(HeaderDeadline, strconv.FormatInt(left, 10))
 	return req, nil
 }
 
-// classify says whether a request that got no answer can have run: only a
-// connection that was never made proves that it did not.
-func classify(ctx context.Context, err error, s dispatch.Slot) *result.Error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return result.Wrap(result.ConnectFailed, err, "target %s", s.Target.ID)
-	}
-	if ctx.Err() != nil {
-		return result.Wrap(result.TargetTimeout, err, "target %s", s.Target.ID)
-	}
-	return result.Wrap(result.ConnectionLost, err, "target %s", s.Target.ID)
-}
-
-func readAnswer(resp *http.Response, s dispatch.Slot, svc config.Service, r *exchange.Request) (*exchange.Answer, error) {
-	if got := resp.Header.Get(HeaderRequestID); got != string(r.ID) {
-		resp.Body.Close()
-		return nil, result.New(result.AnswerMismatch, "target %s answered request %q", s.Target.ID, got)
-	}
-	if resp.Header.Get(HeaderNotRun) == "1" {
-		resp.Body.Close()
-		return nil, result.New(result.TargetRefused, "target %s shed the request", s.Target.ID)
-	}
-	a := &exchange.Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Target: s.Target.ID}
-	held := svc.MaxHeldBytes
-	if held == 0 {
-		held = defaultHeldAnswer
-	}
-	if resp.ContentLength > held {
-		a.Stream = resp.Body
-		return a, nil
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, held+1))
-	if err != nil {
-		return nil, result.Wrap(result.ConnectionLost, err, "answer of target %s broke off", s.Target.ID)
-	}
-	if int64(len(body)) > held {
-		return nil, result.New(result.AnswerTooLarge, "answer of target %s has no length and passes %d bytes", s.Target.ID, held)
+// setBody gives the request a body that http.Transport cannot rewind, so that
+// it never sends the request a second time by itself. It would do so for GET,
+// and for any method with an Idempotency-Key field, when the body is nil or has
+// GetBody.
+func setBody(req *http.Request, r *exchange.Request) {
+	if len(r.Body) == 0 && r.Repeatable {
+		return
 	}
-	a.Body = body
-	return a, nil
+	req.Body = io.NopCloser(bytes.NewReader(r.Body))
+	req.ContentLength = int64(len(r.Body))
 }
