--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -15,11 +15,10 @@
 	spread   *spread.Task
 }
 
-// tableChanged hands a new table of the cell to the tasks that act on it.
-func (d *Daemon) tableChanged(t *cell.Table) {
-	d.dispatch.TableChanged(t)
-	d.serving.upstream.TableChanged(t)
-	d.serving.spread.TableChanged(t)
+// tableChanged hands a new table of the cell to the tasks of a request's way.
+func (s serving) tableChanged(t *cell.Table) {
+	s.upstream.TableChanged(t)
+	s.spread.TableChanged(t)
 }
 
 func (d *Daemon) newPipeline() *serve.Server {
