--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,7 +21,6 @@
 	"github.com/comfreynotch/comfreynotch/internal/membership"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
-	"github.com/comfreynotch/comfreynotch/internal/registry"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/spread"
@@ -38,7 +37,7 @@
 	root      *suture.Supervisor
 	listeners listeners
 
-	registry   *registry.Task
+	registry   *configuration
 	recorder   *timeline.Recorder
 	membership *membership.Task
 	cell       *cell.Task
@@ -62,11 +61,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("bind listeners: %w", err)
 	}
-	initial, err := bootstrapState(s)
-	if err != nil {
-		bound.close()
-		return nil, fmt.Errorf("first configuration: %w", err)
-	}
 	policy, err := operatorsPolicy(s.Operators)
 	if err != nil {
 		bound.close()
@@ -82,7 +76,10 @@
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
-	d.registry = registry.NewTask(initial, d.configChanged)
+	if d.registry, err = d.newConfiguration(); err != nil {
+		bound.close()
+		return nil, fmt.Errorf("registry: %w", err)
+	}
 	d.quota = quota.NewTask(self, core.Cell(s.Cell), authority{self: self}, innerproto.NewQuotaClient(http.DefaultClient), d.registry)
 	d.pipeline = d.newPipeline()
 	d.metrics.Observe(d.view)
@@ -110,7 +107,9 @@
 	d.root.Add(d.hotkeys)
 	d.root.Add(d.cell)
 	d.root.Add(d.membership)
-	d.root.Add(d.registry)
+	for _, s := range d.registry.tasks() {
+		d.root.Add(s)
+	}
 	for _, s := range d.servers() {
 		d.root.Add(s)
 	}
