--- /dev/null
+++ b/internal/hotkeys/sketch.go
@@ -0,0 +1,65 @@
+// Package hotkeys finds the keys of each service that get the most requests at
+// one daemon. Decisions: sketch.go. Task: task.go, which owns the sketches.
+package hotkeys
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/frequent"
+)
+
+const (
+	capacity = 256              // keys counted for each service
+	halfLife = 10 * time.Second // after which an old request counts half
+)
+
+// Key is one key and its rate.
+type Key struct {
+	Key  string
+	Rate float64 // requests a second, as an upper bound
+}
+
+// Sketch counts the most frequent keys of late.
+type Sketch struct {
+	counts *frequent.Sketch[string]
+	halved time.Time
+}
+
+// NewSketch returns an empty sketch.
+func NewSketch(now time.Time) *Sketch {
+	return &Sketch{counts: frequent.New[string](capacity), halved: now}
+}
+
+// Add counts one request that stands for weight requests.
+func (s *Sketch) Add(key string, weight float64, now time.Time) {
+	s.age(now)
+	s.counts.Add(key, weight)
+}
+
+// age halves the counts for each half-life that has passed.
+func (s *Sketch) age(now time.Time) {
+	for now.Sub(s.halved) >= halfLife {
+		s.halved = s.halved.Add(halfLife)
+		s.counts.Decay(0.5)
+		if s.counts.Len() == 0 {
+			s.halved = now
+		}
+	}
+}
+
+// Top returns the n most frequent keys, hottest first. A steady rate r holds a
+// count between r and two times r half-lives; the middle gives the rate.
+func (s *Sketch) Top(n int, now time.Time) []Key {
+	s.age(now)
+	keys := make([]Key, 0, s.counts.Len())
+	window := (halfLife + now.Sub(s.halved)).Seconds()
+	for _, c := range s.counts.Counters() {
+		keys = append(keys, Key{Key: c.Key, Rate: c.Count / window})
+	}
+	slices.SortFunc(keys, func(a, b Key) int {
+		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Key, b.Key))
+	})
+	return keys[:min(n, len(keys))]
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -74,6 +74,7 @@
 	NotFound          Code = 504
 	CommitUnknown     Code = 505
 	Unsupported       Code = 506
+	RequestIDReused   Code = 507
 	Starting          Code = 600
 	Stopping          Code = 601
 	Internal          Code = 700
@@ -126,6 +127,7 @@
 	NotFound:          {"not_found", NotRun, 404},
 	CommitUnknown:     {"commit_unknown", MayHaveRun, 503},
 	Unsupported:       {"unsupported", NotRun, 501},
+	RequestIDReused:   {"request_id_reused", NotRun, 409},
 	Starting:          {"starting", NotRun, 503},
 	Stopping:          {"stopping", NotRun, 503},
 	Internal:          {"internal", MayHaveRun, 500},
@@ -209,3 +211,25 @@
 	}
 	return From(err).Code
 }
+
+// Exit codes of the commands, beside 0.
+const (
+	ExitNoAnswer   = 1 // no result code came back: a change may be in force
+	ExitMisuse     = 2 // the command line or the settings are wrong; nothing started
+	ExitNotRun     = 3 // refused, nothing changed
+	ExitMayHaveRun = 4 // not known whether it changed anything
+)
+
+// ExitCode is the exit code of a command that ended with c.
+func (c Code) ExitCode() int {
+	switch {
+	case c == OK:
+		return 0
+	case c == SettingsInvalid, c == CommandLineMisuse:
+		return ExitMisuse
+	case c.Info().Ran == NotRun:
+		return ExitNotRun
+	default:
+		return ExitMayHaveRun
+	}
+}
