--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,13 +16,13 @@
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
 	"github.com/comfreynotch/comfreynotch/internal/hotkeys"
-	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/leadership"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
+	"github.com/comfreynotch/comfreynotch/internal/spread"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 	"github.com/comfreynotch/comfreynotch/internal/telemetry"
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
@@ -45,6 +45,7 @@
 	quota      *quota.Task
 	hotkeys    *hotkeys.Task
 	policy     operators.Policy
+	serving    serving
 	metrics    *telemetry.Metrics
 	pipeline   *serve.Server
 }
@@ -69,6 +70,7 @@
 	d := &Daemon{settings: s, logger: logger, listeners: bound, policy: policy, metrics: metrics}
 	d.recorder = d.newRecorder(s)
 	d.dispatch = dispatch.NewTask(self)
+	d.serving = serving{upstream: upstream.New(self), spread: spread.NewTask()}
 	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
@@ -80,15 +82,7 @@
 	}
 	d.leadership = leadership.NewTask(self, d.registry)
 	d.quota = d.newQuota()
-	d.pipeline = &serve.Server{
-		Self:      self,
-		Config:    d.registry.State(),
-		Limiter:   d.quota,
-		Ownership: d.cell,
-		Slots:     d.dispatch,
-		Sender:    upstream.New(),
-		Forwarder: innerproto.NewForwarder(),
-	}
+	d.pipeline = d.newPipeline()
 	d.metrics.Observe(d.view)
 	d.supervise()
 	return d, nil
@@ -109,7 +103,7 @@
 		_ = level.Warn(d.logger).Log("msg", "task event", "event", event)
 	})
 	d.root.Add(d.recorder)
-	d.root.Add(d.dispatch)
+	d.superviseServing()
 	d.root.Add(d.leadership)
 	d.root.Add(d.quota)
 	d.root.Add(d.hotkeys)
