--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -17,6 +17,7 @@
 // tableChanged hands a table in force to the tasks that act on it.
 func (d *Daemon) tableChanged(t *cell.Table) {
 	d.dispatch.TableChanged(t)
+	d.serving.tableChanged(t)
 	d.recorder.TableChanged(t)
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,9 +21,9 @@
 	"github.com/comfreynotch/comfreynotch/internal/membership"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
-	"github.com/comfreynotch/comfreynotch/internal/registry"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
+	"github.com/comfreynotch/comfreynotch/internal/spread"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 	"github.com/comfreynotch/comfreynotch/internal/telemetry"
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
@@ -37,7 +37,7 @@
 	root      *suture.Supervisor
 	listeners listeners
 
-	registry   *registry.Task
+	registry   *configuration
 	recorder   *timeline.Recorder
 	membership *membership.Task
 	cell       *cell.Task
@@ -45,6 +45,7 @@
 	quota      *quota.Task
 	hotkeys    *hotkeys.Task
 	policy     operators.Policy
+	serving    serving
 	metrics    *telemetry.Metrics
 	pipeline   *serve.Server
 }
@@ -60,11 +61,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("bind listeners: %w", err)
 	}
-	initial, err := bootstrapState(s)
-	if err != nil {
-		bound.close()
-		return nil, fmt.Errorf("first configuration: %w", err)
-	}
 	policy, err := operatorsPolicy(s.Operators)
 	if err != nil {
 		bound.close()
@@ -74,22 +70,18 @@
 	d := &Daemon{settings: s, logger: logger, listeners: bound, policy: policy, metrics: metrics}
 	d.recorder = d.newRecorder(s)
 	d.dispatch = dispatch.NewTask(self)
+	d.serving = serving{upstream: upstream.New(self), spread: spread.NewTask()}
 	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
-	d.registry = registry.NewTask(initial, d.configChanged)
-	d.quota = quota.NewTask(self, core.Cell(s.Cell), authority{self: self}, innerproto.NewQuotaClient(http.DefaultClient), d.registry)
-	d.pipeline = &serve.Server{
-		Self:      self,
-		Config:    d.registry.State(),
-		Limiter:   d.quota,
-		Ownership: d.cell,
-		Slots:     d.dispatch,
-		Sender:    upstream.New(),
-		Forwarder: innerproto.NewForwarder(),
+	if d.registry, err = d.newConfiguration(); err != nil {
+		bound.close()
+		return nil, fmt.Errorf("registry: %w", err)
 	}
+	d.quota = quota.NewTask(self, core.Cell(s.Cell), authority{self: self}, innerproto.NewQuotaClient(http.DefaultClient), d.registry)
+	d.pipeline = d.newPipeline()
 	d.metrics.Observe(d.view)
 	d.supervise()
 	return d, nil
@@ -110,12 +102,14 @@
 		_ = level.Warn(d.logger).Log("msg", "task event", "event", event)
 	})
 	d.root.Add(d.recorder)
-	d.root.Add(d.dispatch)
+	d.superviseServing()
 	d.root.Add(d.quota)
 	d.root.Add(d.hotkeys)
 	d.root.Add(d.cell)
 	d.root.Add(d.membership)
-	d.root.Add(d.registry)
+	for _, s := range d.registry.tasks() {
+		d.root.Add(s)
+	}
 	for _, s := range d.servers() {
 		d.root.Add(s)
 	}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -20,6 +20,7 @@
 	}
 	server := operators.NewServer(operators.Parts{
 		Registry: d.registry,
+		Voters:   d.registry,
 		Cell:     d.cell,
 		Assigner: choices,
 		HotKeys:  choices,
