--- a/bench/cmd/demo/main.go
+++ b/bench/cmd/demo/main.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return fmt.Errorf("folder for the caller's secret: %w", err)
 	}
-	defer os.RemoveAll(folder)
+	defer func() { _ = os.RemoveAll(folder) }()
 	secretFile := folder + "/secret"
 	for _, args := range [][]string{
 		{"workspace", "put", "-rate", "100", "-burst", "100", "lab"},
