--- a/internal/quota/admission.go
+++ b/internal/quota/admission.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	tokenWait       = 250 * time.Millisecond  // longest wait of a request while its workspace is over its rate
-	unreachableWait = 2 * time.Second // longest wait while the source does not answer
-	maxWaiting      = 1024                    // requests of one workspace that wait at one daemon
+	tokenWait       = 250 * time.Millisecond // longest wait of a request while its workspace is over its rate
+	unreachableWait = 2 * time.Second        // longest wait while the source does not answer
+	maxWaiting      = 1024                   // requests of one workspace that wait at one daemon
 )
 
 // Ticket identifies a request that waits for a token.
