Explain keys of any cell, follow causes, and tell shards apart in the time line

Elections of the registry were missing, and a daemon in a data centre that is out said it was ready.

Change: explain, targets and assignments fetch another cell's table from its members. GetEvents adds the causes of what it found, three steps back. The registry's leader records its election and changes of members. "No leader is known" follows from the age of the newest proof of the configuration, 5 s. A daemon whose data centre is leaving, out or dead is not ready; the test of health asks for that now, which is stricter than before.

Conclusion: explain answers at every daemon, and a history is the key's own.

--- a/internal/cli/cells.go
+++ b/internal/cli/cells.go
@@ -11,14 +11,17 @@
 )
 
 func (a *app) targetCommands() *ffcli.Command {
-	var service string
-	return a.group("target", "targets of a daemon's cell",
+	r := &operatorspb.ListTargetsRequest{}
+	return a.group("target", "targets of a cell",
 		a.command(command{
-			name: "list", short: "list the targets of the daemon's cell",
-			flags: func(fs *flag.FlagSet) { fs.StringVar(&service, "service", "", "only this service's") },
+			name: "list", short: "list the targets of a cell",
+			flags: func(fs *flag.FlagSet) {
+				fs.StringVar(&r.Service, "service", "", "only this service's")
+				fs.StringVar(&r.Cell, "cell", "", "cell (default: the asked daemon's)")
+			},
 			exec: func(ctx context.Context, _ []string) error {
 				targets, err := call(ctx, a, func(ctx context.Context, ops operatorspb.Operators) (*operatorspb.Targets, error) {
-					return ops.ListTargets(ctx, &operatorspb.ListTargetsRequest{Service: service})
+					return ops.ListTargets(ctx, r)
 				})
 				if err != nil {
 					return err
@@ -104,11 +107,16 @@
 func (a *app) assignmentCommands() *ffcli.Command {
 	r := &operatorspb.AssignRequest{}
 	var shard uint
+	var cell string
 	service := func(fs *flag.FlagSet) { fs.StringVar(&r.Service, "service", "", "keyed service") }
 	return a.group("assignment", "owners of shards",
 		a.command(command{
-			name: "list", short: "list the owners that the daemon's cell knows", flags: service,
-			exec: func(ctx context.Context, _ []string) error { return a.listAssignments(ctx, r.GetService()) },
+			name: "list", short: "list the owners of a cell's shards",
+			flags: func(fs *flag.FlagSet) {
+				service(fs)
+				fs.StringVar(&cell, "cell", "", "cell (default: the asked daemon's)")
+			},
+			exec: func(ctx context.Context, _ []string) error { return a.listAssignments(ctx, r.GetService(), cell) },
 		}),
 		a.command(command{
 			name: "assign", arguments: "TARGET", short: "give a shard to a target", want: 1, changes: true,
@@ -129,9 +137,9 @@
 	)
 }
 
-func (a *app) listAssignments(ctx context.Context, service string) error {
+func (a *app) listAssignments(ctx context.Context, service, cell string) error {
 	answer, err := call(ctx, a, func(ctx context.Context, ops operatorspb.Operators) (*operatorspb.Assignments, error) {
-		return ops.ListAssignments(ctx, &operatorspb.ListAssignmentsRequest{Service: service})
+		return ops.ListAssignments(ctx, &operatorspb.ListAssignmentsRequest{Service: service, Cell: cell})
 	})
 	if err != nil {
 		return err
--- a/internal/cli/timeline.go
+++ b/internal/cli/timeline.go
@@ -156,7 +156,11 @@
 		parts = append(parts, fmt.Sprintf("%d %s", e.GetCode(), result.Code(e.GetCode())))
 	}
 	if e.GetCount() > 1 && e.GetDetail() == "" {
-		parts = append(parts, fmt.Sprintf("%d times", e.GetCount()))
+		unit := "times"
+		if e.GetShards() != "" {
+			unit = "shards"
+		}
+		parts = append(parts, fmt.Sprintf("%d %s", e.GetCount(), unit))
 	}
 	if e.GetFence() != "" {
 		parts = append(parts, "fence "+e.GetFence())
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -13,6 +13,10 @@
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 )
 
+// leaderSilence is how old the newest proof of the configuration may be before
+// the registry's leader counts as not known.
+const leaderSilence = 5 * time.Second
+
 // operatorsHandler serves operators who show a certificate or a token.
 func (d *Daemon) operatorsHandler() http.Handler {
 	choices := operators.Choices{
@@ -22,6 +26,7 @@
 		Registry: d.registry,
 		Voters:   d.registry,
 		Cell:     d.cell,
+		Tables:   choices,
 		Assigner: choices,
 		HotKeys:  choices,
 		Recorder: d.recorder,
@@ -65,7 +70,7 @@
 		State:       d.registry.Current(),
 		Table:       d.cell.Table(),
 		LeaseLive:   d.cell.Lease().Live(time.Now()),
-		LeaderKnown: true,
+		LeaderKnown: time.Since(d.registry.copy.ConfirmedAt()) < leaderSilence,
 		Coordinator: d.cell.Coordinator(),
 	}
 }
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"strings"
 
-	"github.com/go-kit/log/level"
-
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/configjson"
 	"github.com/comfreynotch/comfreynotch/internal/configsync"
@@ -102,9 +100,7 @@
 		Self: c.self.VM, Members: firstMembers(d.settings, c.self), Bootstrap: firstChange(d.settings.Bootstrap),
 		Files: files, Codec: configjson.Codec{}, Transport: c.client, Seed: seed.Sum64(),
 		Changed: c.copy.Offer,
-		Report: func(event, text string) {
-			_ = level.Info(d.logger).Log("msg", "registry", "event", event, "text", text)
-		},
+		Report:  d.registryReporter(),
 	})
 }
 
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -2,6 +2,10 @@
 
 import (
 	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-kit/log/level"
 
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
@@ -13,6 +17,28 @@
 	return timeline.NewRecorder(core.VM(s.VM), core.DataCentre(s.DataCentre), d.metrics.EventDropped, d.observe)
 }
 
+// registryReporter returns a function that logs what a registry voter reports
+// and records it if this daemon leads. Only the voter's goroutine calls it.
+func (d *Daemon) registryReporter() func(event, text string) {
+	own, leads := strconv.Quote(d.settings.VM)+" ", false
+	return func(event, text string) {
+		_ = level.Info(d.logger).Log("msg", "registry", "event", event, "text", text)
+		if event == "leader" {
+			led := leads
+			leads = strings.HasPrefix(text, own)
+			switch {
+			case leads:
+				d.recorder.Record(timeline.Event{Kind: timeline.LeaderElected, Detail: text})
+			case led:
+				d.recorder.Record(timeline.Event{Kind: timeline.LeaderLost, Detail: text})
+			}
+		}
+		if event == "members" && leads {
+			d.recorder.Record(timeline.Event{Kind: timeline.VoterChanged, Detail: text})
+		}
+	}
+}
+
 // observe returns what the time line records of this daemon's leases.
 func (d *Daemon) observe() timeline.Observation {
 	v := d.view()
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -40,6 +40,8 @@
 		return "this daemon is stopping", false
 	case v.State.Version == 0:
 		return "no configuration has been accepted here yet", false
+	case statusText[v.State.DataCentres[v.DataCentre].Status][0] != "":
+		return fmt.Sprintf("data centre %s is %s", v.DataCentre, statusText[v.State.DataCentres[v.DataCentre].Status][0]), false
 	case !v.LeaseLive:
 		return fmt.Sprintf("no member lease in cell %s", v.Table.Cell), false
 	}
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -48,7 +48,7 @@
 		{"leader", "no registry leader", result.NoLeader, true, func(v *View) { v.LeaderKnown = false }},
 		{"coordinator", "no coordinator", result.OK, true, func(v *View) { v.Coordinator = "" }},
 		{"lease", "holds no member lease", result.NoLease, false, func(v *View) { v.LeaseLive = false }},
-		{"data centre", "data centre padana-a is out", result.OK, true, func(v *View) {
+		{"data centre", "data centre padana-a is out", result.OK, false, func(v *View) {
 			v.State.DataCentres["padana-a"] = config.DataCentre{Status: config.DataCentreOut}
 		}},
 		{"target", "no target in cell", result.NoTarget, true, func(v *View) {
--- a/internal/innerproto/events.go
+++ b/internal/innerproto/events.go
@@ -68,7 +68,7 @@
 func queryToWire(q timeline.Query) *innerpb.EventQuery {
 	w := &innerpb.EventQuery{
 		FromMicros: microsOf(q.From), ToMicros: microsOf(q.To), Target: string(q.Target),
-		DataCentre: string(q.DataCentre), Service: string(q.Service), Limit: int32(q.Limit),
+		DataCentre: string(q.DataCentre), Service: string(q.Service), Limit: int32(q.Limit), Refs: q.Refs,
 	}
 	if q.Shard != nil {
 		shard := uint32(*q.Shard)
@@ -80,7 +80,7 @@
 func queryFromWire(w *innerpb.EventQuery) timeline.Query {
 	q := timeline.Query{
 		From: timeOf(w.GetFromMicros()), To: timeOf(w.GetToMicros()), Target: core.TargetID(w.GetTarget()),
-		DataCentre: core.DataCentre(w.GetDataCentre()), Service: core.Service(w.GetService()), Limit: int(w.GetLimit()),
+		DataCentre: core.DataCentre(w.GetDataCentre()), Service: core.Service(w.GetService()), Limit: int(w.GetLimit()), Refs: w.GetRefs(),
 	}
 	if w.Shard != nil {
 		shard := core.Shard(w.GetShard())
@@ -107,13 +107,9 @@
 	w := &innerpb.RecordedEvent{
 		Vm: string(e.VM), Seq: e.Seq, StampMicros: e.Stamp.Micros, StampLogical: e.Stamp.Logical,
 		Kind: string(e.Kind), DataCentre: string(e.DataCentre), Cell: string(e.Cell), Service: string(e.Service),
-		Target: string(e.Target), Workspace: string(e.Workspace), Version: uint64(e.Version),
+		Shards: string(e.Shards), Target: string(e.Target), Workspace: string(e.Workspace), Version: uint64(e.Version),
 		Code: uint32(e.Code), Count: e.Count, Ref: e.Ref, Cause: e.Cause, Detail: e.Detail,
 	}
-	if e.Shards.Any {
-		first := uint32(e.Shards.First)
-		w.FirstShard, w.LastShard = &first, uint32(e.Shards.Last)
-	}
 	if !e.Fence.IsZero() {
 		w.Fence = e.Fence.String()
 	}
@@ -124,13 +120,10 @@
 	e := timeline.Event{
 		VM: core.VM(w.GetVm()), Seq: w.GetSeq(), Stamp: timeline.Stamp{Micros: w.GetStampMicros(), Logical: w.GetStampLogical()},
 		Kind: timeline.Kind(w.GetKind()), DataCentre: core.DataCentre(w.GetDataCentre()), Cell: core.Cell(w.GetCell()),
-		Service: core.Service(w.GetService()), Target: core.TargetID(w.GetTarget()),
+		Service: core.Service(w.GetService()), Shards: timeline.ShardSet(w.GetShards()), Target: core.TargetID(w.GetTarget()),
 		Workspace: core.Workspace(w.GetWorkspace()), Version: core.Version(w.GetVersion()),
 		Code: result.Code(w.GetCode()), Count: w.GetCount(), Ref: w.GetRef(), Cause: w.GetCause(), Detail: w.GetDetail(),
 	}
-	if w.FirstShard != nil {
-		e.Shards = timeline.Span{Any: true, First: core.Shard(w.GetFirstShard()), Last: core.Shard(w.GetLastShard())}
-	}
 	if w.GetFence() != "" {
 		f, err := core.ParseFence(w.GetFence())
 		if err != nil {
--- a/internal/innerproto/events_test.go
+++ b/internal/innerproto/events_test.go
@@ -39,7 +39,7 @@
 	is := is.New(t)
 	want := timeline.Event{
 		VM: "vm-1", Seq: 3, Stamp: timeline.Stamp{Micros: 12, Logical: 4}, Kind: timeline.ShardGranted,
-		DataCentre: "padana-a", Cell: "padana-a", Service: "archivio", Shards: timeline.OneShard(0), Target: "t1",
+		DataCentre: "padana-a", Cell: "padana-a", Service: "archivio", Shards: "0-45/3", Target: "t1",
 		Workspace: "lab", Version: 9, Fence: core.Fence{Epoch: 1, Ballot: 2, Counter: 3}, Code: 304, Count: 2,
 		Ref: "r", Cause: "c", Detail: "d",
 	}
@@ -48,7 +48,7 @@
 	srv := httptest.NewServer(WithStamps(server, EventsHandler(record)))
 	defer srv.Close()
 	shard := core.Shard(0)
-	q := timeline.Query{From: time.UnixMicro(5).UTC(), Target: "t1", Service: "archivio", Shard: &shard, Limit: 3}
+	q := timeline.Query{From: time.UnixMicro(5).UTC(), Target: "t1", Service: "archivio", Shard: &shard, Limit: 3, Refs: []string{"r"}}
 	remote := NewEventsClient(StampedTransport(client, http.DefaultTransport))
 	got, err := remote.Fetch(t.Context(), config.VM{Name: "vm-1", InnerAddress: strings.TrimPrefix(srv.URL, "http://")}, q)
 	is.NoErr(err)
--- a/internal/operators/cells.go
+++ b/internal/operators/cells.go
@@ -13,9 +13,12 @@
 	"github.com/comfreynotch/comfreynotch/internal/routing"
 )
 
-// ListTargets returns the targets of this daemon's cell.
-func (s *Server) ListTargets(_ context.Context, r *operatorspb.ListTargetsRequest) (*operatorspb.Targets, error) {
-	table := s.parts.Cell.Table()
+// ListTargets returns the targets of a cell.
+func (s *Server) ListTargets(ctx context.Context, r *operatorspb.ListTargetsRequest) (*operatorspb.Targets, error) {
+	table, err := s.tableOf(ctx, core.Cell(r.GetCell()))
+	if err != nil {
+		return nil, toTwirp(err)
+	}
 	return &operatorspb.Targets{
 		Version: s.version(), Cell: string(table.Cell), Targets: targetsToWire(table, core.Service(r.GetService())),
 	}, nil
@@ -126,14 +129,17 @@
 	})
 }
 
-// ListAssignments returns the owners of a service's shards that this daemon's
-// cell is home to, neighbours of one owner together.
-func (s *Server) ListAssignments(_ context.Context, r *operatorspb.ListAssignmentsRequest) (*operatorspb.Assignments, error) {
+// ListAssignments returns the owners of a service's shards that a cell is home
+// to, neighbours of one owner together.
+func (s *Server) ListAssignments(ctx context.Context, r *operatorspb.ListAssignmentsRequest) (*operatorspb.Assignments, error) {
 	svc, err := s.keyedService(r.GetService())
 	if err != nil {
 		return nil, toTwirp(err)
 	}
-	table := s.parts.Cell.Table()
+	table, err := s.tableOf(ctx, core.Cell(r.GetCell()))
+	if err != nil {
+		return nil, toTwirp(err)
+	}
 	answer := &operatorspb.Assignments{Version: s.version(), Cell: string(table.Cell)}
 	var run *operatorspb.Assignment
 	var newest core.Fence
--- a/internal/operators/choices.go
+++ b/internal/operators/choices.go
@@ -118,3 +118,23 @@
 	}
 	return keys, nil
 }
+
+// TableOf implements Tables: it asks one member of another cell after the other.
+func (c Choices) TableOf(ctx context.Context, of core.Cell) (*cell.Table, error) {
+	state := c.Registry.Current()
+	var last error = result.New(result.CellUnreachable, "cell %s has no members", of)
+	for _, vm := range state.Cells[of].Members {
+		answer, err := c.Members.Call(ctx, state.VMs[vm], c.Self, cell.Fetch{})
+		if err != nil {
+			last = result.Wrap(result.CellUnreachable, err, "VM %s of cell %s", vm, of)
+			continue
+		}
+		if fetched, ok := answer.(cell.FetchAnswer); ok && fetched.Table != nil {
+			if table, whole := cell.NewTable(of).Apply(fetched.Table); whole {
+				return table, nil
+			}
+		}
+		last = result.New(result.CellUnreachable, "VM %s of cell %s holds no table", vm, of)
+	}
+	return nil, last
+}
--- a/internal/operators/events.go
+++ b/internal/operators/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/api/operatorspb"
@@ -17,6 +16,7 @@
 	maxEventLimit     = 10_000
 	fetchTimeout      = 2 * time.Second
 	fetchesAtOnce     = 16
+	causeSteps        = 3 // from an effect to its cause, and on to that one's
 )
 
 // GetEvents returns the events of all daemons in one order.
@@ -69,8 +69,26 @@
 	err    error
 }
 
-// gather asks this daemon and, unless onlyHere, all others, a few at a time.
+// gather asks this daemon and, unless onlyHere, all others, a few at a time. It
+// adds the events that those found name as their causes.
 func (s *Server) gather(ctx context.Context, q timeline.Query, onlyHere bool) ([]timeline.Event, []*operatorspb.Unreachable, error) {
+	events, unreachable, err := s.gatherOnce(ctx, q, onlyHere)
+	for range causeSteps {
+		refs := timeline.MissingCauses(events)
+		if err != nil || len(refs) == 0 {
+			break
+		}
+		var causes []timeline.Event
+		causes, _, err = s.gatherOnce(ctx, timeline.Query{Refs: refs, Limit: q.Limit}, onlyHere)
+		if len(causes) == 0 {
+			break
+		}
+		events = timeline.Merge(events, causes)
+	}
+	return events, unreachable, err
+}
+
+func (s *Server) gatherOnce(ctx context.Context, q timeline.Query, onlyHere bool) ([]timeline.Event, []*operatorspb.Unreachable, error) {
 	here, err := s.parts.Recorder.Events(ctx, q)
 	if err != nil || onlyHere || s.parts.Peers == nil {
 		return here, nil, err
@@ -131,7 +149,7 @@
 func eventToWire(e timeline.Event) *operatorspb.Event {
 	w := &operatorspb.Event{
 		Vm: string(e.VM), Seq: e.Seq, AtMicros: e.Stamp.Micros, Logical: e.Stamp.Logical, Kind: string(e.Kind),
-		DataCentre: string(e.DataCentre), Cell: string(e.Cell), Service: string(e.Service), Shards: spanText(e.Shards),
+		DataCentre: string(e.DataCentre), Cell: string(e.Cell), Service: string(e.Service), Shards: string(e.Shards),
 		Target: string(e.Target), Workspace: string(e.Workspace), Version: uint64(e.Version), Code: uint32(e.Code),
 		Count: e.Count, Ref: e.Ref, Cause: e.Cause, Detail: e.Detail,
 	}
@@ -140,14 +158,3 @@
 	}
 	return w
 }
-
-func spanText(p timeline.Span) string {
-	switch {
-	case !p.Any:
-		return ""
-	case p.First == p.Last:
-		return fmt.Sprint(p.First)
-	default:
-		return fmt.Sprintf("%d-%d", p.First, p.Last)
-	}
-}
--- a/internal/operators/explain.go
+++ b/internal/operators/explain.go
@@ -26,7 +26,7 @@
 		Version: s.version(), Service: r.GetService(), Key: r.GetKey(), Shard: uint32(shard),
 		Reasons: []string{fmt.Sprintf("key %q hashes to shard %d of %d of service %s", r.GetKey(), shard, svc.Shards, svc.Name)},
 	}
-	s.explainHome(x, svc.Name, shard)
+	s.explainHome(ctx, x, svc.Name, shard)
 	if s.parts.Recorder == nil {
 		return x, nil
 	}
@@ -39,7 +39,7 @@
 	return x, nil
 }
 
-func (s *Server) explainHome(x *operatorspb.Explanation, service core.Service, shard core.Shard) {
+func (s *Server) explainHome(ctx context.Context, x *operatorspb.Explanation, service core.Service, shard core.Shard) {
 	state := s.parts.Registry.Current()
 	home, ok := state.Home(service, shard)
 	if !ok {
@@ -50,9 +50,9 @@
 	x.HomeCell, x.DataCentre = string(home), string(dc)
 	x.Reasons = append(x.Reasons, fmt.Sprintf("the registry's version %d makes cell %s in data centre %s (%s) its home",
 		state.Version, home, dc, statusNames[state.DataCentres[dc].Status]))
-	table := s.parts.Cell.Table()
-	if home != table.Cell {
-		x.Reasons = append(x.Reasons, fmt.Sprintf("this daemon is in cell %s; a daemon of cell %s knows the owner", table.Cell, home))
+	table, err := s.tableOf(ctx, home)
+	if err != nil {
+		x.Reasons = append(x.Reasons, fmt.Sprintf("the owner is not known here, since no member of cell %s answers: %s", home, err))
 		return
 	}
 	if own, ok := table.HotKey(service, xxhash.Sum64String(x.GetKey())); ok {
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -252,21 +252,30 @@
 	event := func(vm core.VM, at int64, kind timeline.Kind, target core.TargetID) timeline.Event {
 		return timeline.Event{
 			VM: vm, Stamp: timeline.Stamp{Micros: at}, Kind: kind, Service: "archivio",
-			Shards: timeline.OneShard(shard), Target: target, Cause: "target t1#1",
+			Shards: timeline.NewShardSet(shard), Target: target, Cause: "target t1#1",
 		}
 	}
 	f.peers["vm-1"] = []timeline.Event{event("vm-1", 10, timeline.ShardGranted, "t1"), event("vm-1", 30, timeline.ShardGranted, "t2")}
 	f.peers["vm-2"] = []timeline.Event{
 		event("vm-2", 20, timeline.ShardReleased, "t1"),
-		{VM: "vm-2", Kind: timeline.ShardGranted, Service: "archivio", Shards: timeline.OneShard((shard + 1) % 8)},
+		{VM: "vm-2", Kind: timeline.TargetJoined, Target: "t1", Ref: "target t1#1"},
+		{VM: "vm-2", Kind: timeline.ShardGranted, Service: "archivio", Shards: timeline.NewShardSet((shard + 1) % 8)},
 	}
 	x, err := f.server.Explain(t.Context(), &operatorspb.ExplainRequest{Service: "archivio", Key: "batch-7"})
 	is.NoErr(err)
 	is.Equal([]string{x.Target, x.Fence, x.Dispatcher, x.HomeCell}, []string{"t2", "1.2.3", "vm-2", "padana-a"})
 	is.Equal(x.SinceMicros, int64(30))
-	is.Equal(len(x.History), 3)
-	is.Equal(x.History[1].Kind, string(timeline.ShardReleased))
+	is.Equal(len(x.History), 4)
+	is.Equal(x.History[0].Kind, string(timeline.TargetJoined)) // the cause, which the key alone does not select
+	is.Equal(x.History[2].Kind, string(timeline.ShardReleased))
 	is.Equal(x.Unreachable[0].Vm, "vm-3")
+
+	table := f.cell.table
+	f.cell.table = cell.NewTable("padana-b") // this daemon is now of another cell
+	f.server.parts.Tables = Choices{Self: "vm-1", Registry: f.registry, Members: &fakeMembers{table: table}}
+	x, err = f.server.Explain(t.Context(), &operatorspb.ExplainRequest{Service: "archivio", Key: "batch-7"})
+	is.NoErr(err)
+	is.Equal([]string{x.Target, x.Fence, x.Dispatcher, x.HomeCell}, []string{"t2", "1.2.3", "vm-2", "padana-a"})
 }
 
 // TestOnlyOperatorsPass holds that a call without a valid token is refused
@@ -314,9 +323,13 @@
 type fakeMembers struct {
 	answers map[core.VM]error
 	asked   []core.VM
+	table   *cell.Table
 }
 
-func (f *fakeMembers) Call(_ context.Context, to config.VM, _ core.VM, _ cell.Call) (cell.Answer, error) {
+func (f *fakeMembers) Call(_ context.Context, to config.VM, _ core.VM, c cell.Call) (cell.Answer, error) {
+	if _, ok := c.(cell.Fetch); ok {
+		return cell.FetchAnswer{Table: cell.Diff(nil, f.table)}, nil
+	}
 	f.asked = append(f.asked, to.Name)
 	return cell.AssignAnswer{Err: f.answers[to.Name]}, nil
 }
--- a/internal/operators/server.go
+++ b/internal/operators/server.go
@@ -40,6 +40,11 @@
 	Coordinator() core.VM // empty: none known
 }
 
+// Tables shows the cells of other daemons.
+type Tables interface {
+	TableOf(ctx context.Context, c core.Cell) (*cell.Table, error)
+}
+
 // Assigner gives a shard to a target. It returns once a majority of the shard's
 // home cell holds the assignment.
 type Assigner interface {
@@ -82,6 +87,7 @@
 	Registry Registry
 	Voters   Voters
 	Cell     Cell
+	Tables   Tables
 	Assigner Assigner
 	Drainer  Drainer
 	HotKeys  HotKeys
@@ -133,3 +139,20 @@
 	}
 	return &operatorspb.ChangeAnswer{Version: s.version()}, nil
 }
+
+// tableOf returns the table of a cell; empty: of this daemon's.
+func (s *Server) tableOf(ctx context.Context, c core.Cell) (*cell.Table, error) {
+	here := s.parts.Cell.Table()
+	if c == "" || c == here.Cell {
+		return here, nil
+	}
+	if _, ok := s.parts.Registry.Current().Cells[c]; !ok {
+		return nil, result.New(result.NotFound, "cell %q", c)
+	}
+	if s.parts.Tables == nil {
+		return nil, result.New(result.Unsupported, "this daemon cannot ask other cells")
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	return s.parts.Tables.TableOf(ctx, c)
+}
--- a/internal/timeline/cells.go
+++ b/internal/timeline/cells.go
@@ -72,14 +72,21 @@
 
 // shardEvents returns one event for each target that gained or lost shards.
 func shardEvents(prev, next *cell.Table, service core.Service, coordinator string) []Event {
-	moves := map[shardMove]*Event{}
+	moves := map[shardMove][]core.Shard{}
+	fences := map[shardMove]core.Fence{}
+	add := func(m shardMove, shard core.Shard, f core.Fence) {
+		moves[m] = append(moves[m], shard)
+		if fences[m].Less(f) {
+			fences[m] = f
+		}
+	}
 	for shard := range core.Shard(max(len(prev.Shards[service]), len(next.Shards[service]))) {
 		was, is := assignmentOf(prev, service, shard), assignmentOf(next, service, shard)
 		if was.Target != "" && was.Target != is.Target {
-			addShard(moves, shardMove{ShardReleased, was.Target}, service, shard, was.Fence)
+			add(shardMove{ShardReleased, was.Target}, shard, was.Fence)
 		}
 		if is.Target != "" && (was.Target != is.Target || was.Fence != is.Fence) {
-			addShard(moves, shardMove{ShardGranted, is.Target}, service, shard, is.Fence)
+			add(shardMove{ShardGranted, is.Target}, shard, is.Fence)
 		}
 	}
 	keys := slices.SortedFunc(maps.Keys(moves), func(a, b shardMove) int {
@@ -88,10 +95,10 @@
 	})
 	events := make([]Event, 0, len(keys))
 	for _, k := range keys {
-		e := moves[k]
-		e.Cause = whyMoved(prev, next, k, coordinator)
-		e.Detail = fmt.Sprintf("%d of shards %d to %d", e.Count, e.Shards.First, e.Shards.Last)
-		events = append(events, *e)
+		events = append(events, Event{
+			Kind: k.kind, Service: service, Target: k.target, Shards: shardSetAround(moves[k]), Count: uint64(len(moves[k])),
+			Fence: fences[k], Cause: whyMoved(prev, next, k, coordinator),
+		})
 	}
 	return events
 }
@@ -120,27 +127,12 @@
 	return cell.Assignment{}
 }
 
-func addShard(moves map[shardMove]*Event, m shardMove, service core.Service, shard core.Shard, f core.Fence) {
-	e := moves[m]
-	if e == nil {
-		e = &Event{Kind: m.kind, Service: service, Target: m.target, Shards: OneShard(shard)}
-		moves[m] = e
-	}
-	e.Shards.Last = shard
-	e.Count++
-	if e.Fence.Less(f) {
-		e.Fence = f
-	}
-}
-
-// Observation is what a daemon sees of its own leases and leaders.
+// Observation is what a daemon sees of its own leases.
 type Observation struct {
 	Cell        core.Cell
 	Fence       core.Fence // of the table in force
 	LeaseLive   bool
 	Coordinator core.VM // empty: none known
-	Leader      core.VM // of the registry; empty: none known
-	Term        uint64
 }
 
 // ObservationEvents returns what changed between two observations of daemon vm.
@@ -162,15 +154,5 @@
 			events = append(events, Event{Kind: CoordinatorElected, Cell: next.Cell, Fence: next.Fence, Ref: CoordinatorRef(next.Cell, next.Fence)})
 		}
 	}
-	if prev.Leader != next.Leader || prev.Term != next.Term {
-		if prev.Leader == vm {
-			events = append(events, Event{Kind: LeaderLost, Cause: leaderRef(prev.Term)})
-		}
-		if next.Leader == vm {
-			events = append(events, Event{Kind: LeaderElected, Ref: leaderRef(next.Term), Detail: fmt.Sprintf("term %d", next.Term)})
-		}
-	}
 	return events
 }
-
-func leaderRef(term uint64) string { return fmt.Sprintf("registry term %d", term) }
--- a/internal/timeline/cells_test.go
+++ b/internal/timeline/cells_test.go
@@ -37,7 +37,7 @@
 	is.Equal(kinds(events), []Kind{DispatcherMoved, TargetLost, ShardReleased, ShardGranted})
 	is.Equal(events[2].Cause, events[1].Ref)
 	is.Equal(events[2].Count, uint64(2))
-	is.Equal(events[2].Shards, Span{Any: true, First: 0, Last: 2})
+	is.Equal(events[2].Shards, ShardSet("0,2"))
 	is.Equal(events[3].Target, core.TargetID("t2"))
 	is.Equal(events[3].Fence, second)
 	is.Equal(len(TableEvents(next, next)), 0)
@@ -48,10 +48,10 @@
 // time line once, and that a lost lease is seen by the one that lost it.
 func TestElectionsAreRecordedByTheWinner(t *testing.T) {
 	is := is.New(t)
-	before := Observation{Cell: "padana-a", LeaseLive: true, Coordinator: "vm-1", Leader: "vm-1", Term: 3}
-	after := Observation{Cell: "padana-a", Coordinator: "vm-2", Leader: "vm-2", Term: 4}
-	is.Equal(kinds(ObservationEvents("vm-1", before, after)), []Kind{MemberLeaseLost, CoordinatorLost, LeaderLost})
-	is.Equal(kinds(ObservationEvents("vm-2", before, after)), []Kind{MemberLeaseLost, CoordinatorElected, LeaderElected})
+	before := Observation{Cell: "padana-a", LeaseLive: true, Coordinator: "vm-1"}
+	after := Observation{Cell: "padana-a", Coordinator: "vm-2"}
+	is.Equal(kinds(ObservationEvents("vm-1", before, after)), []Kind{MemberLeaseLost, CoordinatorLost})
+	is.Equal(kinds(ObservationEvents("vm-2", before, after)), []Kind{MemberLeaseLost, CoordinatorElected})
 	is.Equal(kinds(ObservationEvents("vm-3", before, after)), []Kind{MemberLeaseLost})
 	is.Equal(len(ObservationEvents("vm-1", after, after)), 0)
 }
--- a/internal/timeline/configuration.go
+++ b/internal/timeline/configuration.go
@@ -69,7 +69,7 @@
 }
 
 func homeEvents(prev, next *config.State) []Event {
-	moves := map[homeMove]*Event{}
+	moves := map[homeMove][]core.Shard{}
 	for name, svc := range next.Services {
 		if sameHomes(prev.Homes[name], next.Homes[name]) {
 			continue
@@ -78,28 +78,21 @@
 			from, had := prev.Home(name, shard)
 			to, has := next.Home(name, shard)
 			if had && has && from != to {
-				addMove(moves, homeMove{name, from, to}, shard)
+				m := homeMove{name, from, to}
+				moves[m] = append(moves[m], shard)
 			}
 		}
 	}
 	events := make([]Event, 0, len(moves))
-	for m, e := range moves {
-		e.Detail = fmt.Sprintf("%d of shards %d to %d moved from cell %s to cell %s", e.Count, e.Shards.First, e.Shards.Last, m.from, m.to)
-		events = append(events, *e)
+	for m, shards := range moves {
+		events = append(events, Event{
+			Kind: HomeMoved, Service: m.service, Cell: m.to, Shards: shardSetAround(shards), Count: uint64(len(shards)),
+			Detail: fmt.Sprintf("%d shards from cell %s to cell %s", len(shards), m.from, m.to),
+		})
 	}
 	return events
 }
 
-func addMove(moves map[homeMove]*Event, m homeMove, shard core.Shard) {
-	e := moves[m]
-	if e == nil {
-		e = &Event{Kind: HomeMoved, Service: m.service, Cell: m.to, Shards: OneShard(shard)}
-		moves[m] = e
-	}
-	e.Shards.Last = shard
-	e.Count++
-}
-
 // sameHomes reports whether two states share one assignment of homes, as
 // successive states do unless a change touched it.
 func sameHomes(a, b config.ShardHomes) bool {
--- a/internal/timeline/configuration_test.go
+++ b/internal/timeline/configuration_test.go
@@ -36,7 +36,7 @@
 	is.Equal(events[2].DataCentre, core.DataCentre("padana-a"))
 	is.Equal(events[2].Detail, "out, was in")
 	is.Equal(events[3].Count, uint64(2))
-	is.Equal(events[3].Shards, Span{Any: true, First: 0, Last: 2})
+	is.Equal(events[3].Shards, ShardSet("0,2"))
 	is.Equal(len(ConfigurationEvents(nil, next)), 1)
 	is.Equal(len(ConfigurationEvents(next, next)), 0)
 }
--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -1,5 +1,6 @@
 // Package timeline records what one daemon did and why, and puts the records of
-// many daemons into one order. Decisions: event.go (events and queries),
+// many daemons into one order. Decisions: event.go (events and queries), shards.go
+// (sets of shards),
 // clock.go (hybrid logical clock), configuration.go
 // (what a new configuration changes), cells.go (what a new table, lease or leader
 // changes), ring.go (bounded store), refusals.go (bulk
@@ -9,6 +10,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/core"
@@ -62,7 +64,7 @@
 	DataCentre core.DataCentre
 	Cell       core.Cell
 	Service    core.Service
-	Shards     Span // shards of Service
+	Shards     ShardSet // of Service
 	Target     core.TargetID
 	Workspace  core.Workspace
 	Version    core.Version
@@ -74,18 +76,6 @@
 	Detail     string
 }
 
-// Span is a range of shards, both ends included.
-type Span struct {
-	Any         bool // false: the event concerns no shard
-	First, Last core.Shard
-}
-
-// OneShard returns the span of a single shard.
-func OneShard(s core.Shard) Span { return Span{Any: true, First: s, Last: s} }
-
-// Contains reports whether s lies in the span.
-func (p Span) Contains(s core.Shard) bool { return p.Any && p.First <= s && s <= p.Last }
-
 // Record takes one event without waiting. Concerns get it from the assembly.
 type Record func(Event)
 
@@ -113,11 +103,15 @@
 	Service    core.Service
 	Shard      *core.Shard // of Service
 	Limit      int         // newest events kept; 0: all that are held
+	Refs       []string    // instead of all above: the events of these names
 }
 
 // Matches reports whether e is selected. An event that names no data centre is
 // that of its daemon, which the recorder fills in.
 func (q Query) Matches(e Event) bool {
+	if len(q.Refs) > 0 {
+		return e.Ref != "" && slices.Contains(q.Refs, e.Ref)
+	}
 	at := e.Stamp.Time()
 	switch {
 	case !q.From.IsZero() && at.Before(q.From), !q.To.IsZero() && !at.Before(q.To):
--- a/internal/timeline/merge.go
+++ b/internal/timeline/merge.go
@@ -49,3 +49,19 @@
 	}
 	return out
 }
+
+// MissingCauses returns the causes that events name and that are not among them.
+func MissingCauses(events []Event) []string {
+	have := map[string]bool{"": true}
+	for _, e := range events {
+		have[e.Ref] = true
+	}
+	var missing []string
+	for _, e := range events {
+		if !have[e.Cause] {
+			have[e.Cause] = true
+			missing = append(missing, e.Cause)
+		}
+	}
+	return missing
+}
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -86,7 +87,7 @@
 	at := time.Unix(100, 0)
 	shard, other := core.Shard(5), core.Shard(9)
 	e := Event{
-		Stamp: Stamp{Micros: at.UnixMicro()}, Service: "archivio", Shards: Span{Any: true, First: 4, Last: 6},
+		Stamp: Stamp{Micros: at.UnixMicro()}, Service: "archivio", Shards: "4-6",
 		Target: "t1", DataCentre: "padana-a",
 	}
 	is.True(Query{}.Matches(e))
@@ -151,3 +152,28 @@
 	}
 	is.Equal(dropped, 7)
 }
+
+// TestShardSetsAreExact holds "ask for a key": a set contains exactly its shards,
+// whatever their pattern, or more only if it says so.
+func TestShardSetsAreExact(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		in := map[core.Shard]bool{}
+		var shards []core.Shard
+		density, step := rng.IntN(100), 1+rng.IntN(4)
+		for s := core.Shard(0); s < 200; s += core.Shard(step) {
+			if rng.IntN(100) < density {
+				in[s] = true
+				shards = append(shards, s)
+			}
+		}
+		set := shardSetAround(shards)
+		for s := range core.Shard(210) {
+			contains := set.Contains(s)
+			is.True(contains || !in[s])
+			is.True(contains == in[s] || strings.HasSuffix(string(set), "~"))
+		}
+	}
+	is.Equal(NewShardSet(1, 4, 7, 10, 11, 12, 20), ShardSet("1-10/3,11-12,20"))
+}
