Move hot shards and keys away from busy targets

Cause: shards were placed by number only. Change: each dispatcher reports its busiest shards and keys to the coordinator every 5 s, which asks for one automatic choice of a service at a time; the cell carries it out as any other move. A choice in the table says whether operators made it; an automatic one never replaces theirs and is withdrawn when cold.

--- a/internal/cell/delta.go
+++ b/internal/cell/delta.go
@@ -43,11 +43,11 @@
 	Removed bool
 }
 
-// PinChange sets or clears the owner that operators chose for a shard.
+// PinChange sets or clears the owner that was chosen for a shard.
 type PinChange struct {
 	Service core.Service
 	Shard   core.Shard
-	Target  core.TargetID // empty: none
+	Choice  Choice
 }
 
 // Diff returns the delta from base to next. A nil base gives a snapshot.
@@ -116,15 +116,15 @@
 
 func (d *Delta) diffPins(base, next *Table) {
 	for name, pins := range next.Pins {
-		for shard, id := range pins {
-			if base.Pins[name][shard] != id {
-				d.Pins = append(d.Pins, PinChange{name, shard, id})
+		for shard, choice := range pins {
+			if base.Pins[name][shard] != choice {
+				d.Pins = append(d.Pins, PinChange{name, shard, choice})
 			}
 		}
 	}
 	for name, pins := range base.Pins {
 		for shard := range pins {
-			if next.Pins[name][shard] == "" {
+			if next.Pins[name][shard] == (Choice{}) {
 				d.Pins = append(d.Pins, PinChange{Service: name, Shard: shard})
 			}
 		}
@@ -156,7 +156,7 @@
 	next.applyShards(d)
 	next.applyHotKeys(d)
 	for _, c := range d.Pins {
-		next.setPin(c.Service, c.Shard, c.Target)
+		next.setPin(c.Service, c.Shard, c.Choice)
 	}
 	return next, true
 }
--- a/internal/cell/pin.go
+++ b/internal/cell/pin.go
@@ -7,14 +7,17 @@
 	"github.com/comfreynotch/comfreynotch/internal/core"
 )
 
-// Pin is an operator's choice of the owner of a shard, or of a key that gets a
-// shard of its own.
+// Pin is the choice of the owner of a shard, or of a key that gets a shard of
+// its own.
 type Pin struct {
 	Service core.Service
 	Shard   core.Shard // of the key, when Key is set
 	Key     bool
 	Hash    uint64        // of the key
 	Target  core.TargetID // empty: the choice is withdrawn
+	// Automatic marks a choice for the load. It neither replaces nor withdraws
+	// one of operators.
+	Automatic bool
 }
 
 // pin enters a pin in t, whose maps may be written. A key's own shard begins
@@ -32,7 +35,17 @@
 			shard = t.addHotKey(svc, pin, in.Fence)
 		}
 	}
-	t.setPin(pin.Service, shard, pin.Target)
+	if old := t.Pins[pin.Service][shard]; pin.Automatic && old.Target != "" && !old.Automatic {
+		return
+	}
+	t.setPin(pin.Service, shard, pin.choice())
+}
+
+func (p Pin) choice() Choice {
+	if p.Target == "" {
+		return Choice{}
+	}
+	return Choice{Target: p.Target, Automatic: p.Automatic}
 }
 
 // Holds reports whether t contains the choice.
@@ -44,7 +57,7 @@
 			return false
 		}
 	}
-	return t.Pins[p.Service][shard] == p.Target
+	return t.Pins[p.Service][shard] == p.choice()
 }
 
 func (t *Table) addHotKey(svc config.Service, pin Pin, fence core.Fence) core.Shard {
@@ -69,15 +82,15 @@
 	return int(svc.Shards) + len(t.HotKeys[svc.Name])
 }
 
-func (t *Table) setPin(service core.Service, shard core.Shard, target core.TargetID) {
+func (t *Table) setPin(service core.Service, shard core.Shard, choice Choice) {
 	pins := maps.Clone(t.Pins[service])
 	if pins == nil {
-		pins = map[core.Shard]core.TargetID{}
+		pins = map[core.Shard]Choice{}
 	}
-	if target == "" {
+	if choice.Target == "" {
 		delete(pins, shard)
 	} else {
-		pins[shard] = target
+		pins[shard] = choice
 	}
 	t.Pins[service] = pins
 }
--- a/internal/cell/shards.go
+++ b/internal/cell/shards.go
@@ -96,9 +96,9 @@
 	p.load[id]++
 }
 
-// pinned returns the owner that operators chose, while it may be given shards.
+// pinned returns the owner that was chosen, while it may be given shards.
 func (p *shardPlan) pinned(s core.Shard) core.TargetID {
-	id := p.next.Pins[p.svc.Name][s]
+	id := p.next.Pins[p.svc.Name][s].Target
 	if _, ok := p.load[id]; !ok {
 		return ""
 	}
@@ -151,7 +151,7 @@
 	surplus := p.surplus(floor, ceil, wanted)
 	for s := len(p.shards) - 1; s >= 0 && len(surplus) > 0; s-- {
 		a := &p.shards[s]
-		if surplus[a.Target] > 0 && !a.Releasing && p.next.Pins[p.svc.Name][core.Shard(s)] == "" && a.Fence != p.in.Fence {
+		if surplus[a.Target] > 0 && !a.Releasing && p.next.Pins[p.svc.Name][core.Shard(s)].Target == "" && a.Fence != p.in.Fence {
 			a.Releasing = true
 			surplus[a.Target]--
 		}
--- a/internal/cell/table.go
+++ b/internal/cell/table.go
@@ -30,6 +30,12 @@
 	Releasing bool
 }
 
+// Choice is the owner that was chosen for a shard.
+type Choice struct {
+	Target    core.TargetID // empty: none
+	Automatic bool          // chosen for the load, not by operators
+}
+
 // Table is one version of a cell's assignments. It is immutable.
 type Table struct {
 	Cell        core.Cell
@@ -40,8 +46,8 @@
 	// HotKeys gives keys shards of their own, with numbers from the service's
 	// count of shards upwards; the index is the key's hash.
 	HotKeys map[core.Service]map[uint64]core.Shard
-	// Pins are the owners that operators chose.
-	Pins map[core.Service]map[core.Shard]core.TargetID
+	// Pins are the owners that were chosen for shards.
+	Pins map[core.Service]map[core.Shard]Choice
 }
 
 // NewTable returns an empty table.
@@ -51,7 +57,7 @@
 		Targets: map[core.TargetID]TargetEntry{},
 		Shards:  map[core.Service][]Assignment{},
 		HotKeys: map[core.Service]map[uint64]core.Shard{},
-		Pins:    map[core.Service]map[core.Shard]core.TargetID{},
+		Pins:    map[core.Service]map[core.Shard]Choice{},
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/membership"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
+	"github.com/comfreynotch/comfreynotch/internal/rebalance"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/spread"
@@ -44,6 +45,7 @@
 	leadership *leadership.Task
 	quota      *quota.Task
 	hotkeys    *hotkeys.Task
+	rebalance  *rebalance.Task
 	policy     operators.Policy
 	serving    serving
 	metrics    *telemetry.Metrics
@@ -82,6 +84,7 @@
 	}
 	d.leadership = leadership.NewTask(self, d.registry)
 	d.quota = d.newQuota()
+	d.rebalance = d.newRebalance()
 	d.pipeline = d.newPipeline()
 	d.metrics.Observe(d.view)
 	d.supervise()
@@ -92,6 +95,7 @@
 func (d *Daemon) configChanged(s *config.State) {
 	d.recorder.ConfigurationChanged(s)
 	d.quota.ConfigChanged(s)
+	d.rebalance.ConfigChanged(s)
 	d.dispatch.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
 }
@@ -107,6 +111,7 @@
 	d.root.Add(d.leadership)
 	d.root.Add(d.quota)
 	d.root.Add(d.hotkeys)
+	d.root.Add(d.rebalance)
 	d.root.Add(d.cell)
 	d.root.Add(d.membership)
 	for _, s := range d.registry.tasks() {
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -31,6 +31,7 @@
 		Sender:    d.serving.upstream,
 		Forwarder: innerproto.NewForwarder(),
 		Spread:    d.serving.spread,
+		Loads:     d.rebalance,
 	}
 }
 
--- a/internal/innerproto/cell.go
+++ b/internal/innerproto/cell.go
@@ -81,7 +81,8 @@
 
 func (s cellServer) Assign(ctx context.Context, r *innerpb.CellAssign) (*innerpb.CellAssignAnswer, error) {
 	a, err := ask[cell.AssignAnswer](ctx, s.member, r.From, cell.Assign{Pin: cell.Pin{
-		Service: core.Service(r.Service), Shard: core.Shard(r.Shard), Key: r.Key, Hash: r.Hash, Target: core.TargetID(r.Target),
+		Service: core.Service(r.Service), Shard: core.Shard(r.Shard), Key: r.Key, Hash: r.Hash,
+		Target: core.TargetID(r.Target), Automatic: r.Automatic,
 	}})
 	if err != nil {
 		return nil, err
@@ -144,7 +145,7 @@
 func (t *CellTransport) assign(ctx context.Context, pb innerpb.CellMember, from core.VM, c cell.Assign) (cell.Answer, error) {
 	r, err := pb.Assign(ctx, &innerpb.CellAssign{
 		From: string(from), Service: string(c.Pin.Service), Shard: uint32(c.Pin.Shard),
-		Key: c.Pin.Key, Hash: c.Pin.Hash, Target: string(c.Pin.Target),
+		Key: c.Pin.Key, Hash: c.Pin.Hash, Target: string(c.Pin.Target), Automatic: c.Pin.Automatic,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/innerproto/cell_delta.go
+++ b/internal/innerproto/cell_delta.go
@@ -61,7 +61,7 @@
 	}
 	for _, p := range d.Pins {
 		c := s.of(p.Service)
-		c.Pins = append(c.Pins, &innerpb.CellPin{Shard: uint32(p.Shard), Target: string(p.Target)})
+		c.Pins = append(c.Pins, &innerpb.CellPin{Shard: uint32(p.Shard), Target: string(p.Choice.Target), Automatic: p.Choice.Automatic})
 	}
 }
 
@@ -120,6 +120,6 @@
 		d.HotKeys = append(d.HotKeys, cell.HotKeyChange{Service: name, Hash: h.Hash, Shard: core.Shard(h.Shard), Removed: h.Removed})
 	}
 	for _, p := range c.Pins {
-		d.Pins = append(d.Pins, cell.PinChange{Service: name, Shard: core.Shard(p.Shard), Target: core.TargetID(p.Target)})
+		d.Pins = append(d.Pins, cell.PinChange{Service: name, Shard: core.Shard(p.Shard), Choice: cell.Choice{Target: core.TargetID(p.Target), Automatic: p.Automatic}})
 	}
 }
--- a/internal/operators/choices.go
+++ b/internal/operators/choices.go
@@ -114,7 +114,7 @@
 			shard = routing.Shard(k.Key, shards)
 		}
 		a, _, _ := table.Owner(s, shard)
-		keys = append(keys, HotKey{Key: k.Key, Rate: k.Rate, Target: a.Target, Pinned: own && table.Pins[s][shard] != ""})
+		keys = append(keys, HotKey{Key: k.Key, Rate: k.Rate, Target: a.Target, Pinned: own && table.Pins[s][shard].Target != ""})
 	}
 	return keys, nil
 }
--- a/internal/rebalance/balance.go
+++ b/internal/rebalance/balance.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 
+	"github.com/comfreynotch/comfreynotch/internal/cell"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 )
 
@@ -26,17 +27,19 @@
 	Rate    float64 // requests a second that move
 }
 
-// Cell is what a decision needs to know of one keyed service in one cell.
-type Cell struct {
+// CellLoad is what a decision needs to know of one keyed service in one cell,
+// beside the reports.
+type CellLoad struct {
 	Service   core.Service
-	Targets   []core.TargetID // that may own shards
-	MaxShards uint32          // shards from this number on hold one key each
+	Targets   []core.TargetID     // that may own shards
+	KeyShards uint32              // keys of shards below this number may get one of their own
+	Fixed     map[core.Shard]bool // operators chose their owners
 }
 
 // Balance returns the one move that takes the most load off the busiest target,
 // or false when the cell is even enough. A key moves by itself where its whole
 // shard would do less good.
-func Balance(c Cell, reports map[core.VM]Report) (Move, bool) {
+func Balance(c CellLoad, reports map[core.VM]Report) (Move, bool) {
 	loads := merge(c, reports)
 	if len(loads.rate) < 2 {
 		return Move{}, false
@@ -80,7 +83,7 @@
 	keys   []KeyRate
 }
 
-func merge(c Cell, reports map[core.VM]Report) loads {
+func merge(c CellLoad, reports map[core.VM]Report) loads {
 	l := loads{rate: map[core.TargetID]float64{}, shards: map[core.Shard]ShardRate{}}
 	for _, id := range c.Targets {
 		l.rate[id] = 0
@@ -121,19 +124,40 @@
 }
 
 // candidates returns what could move from one target to another.
-func (l *loads) candidates(c Cell, from, to core.TargetID) []Move {
+func (l *loads) candidates(c CellLoad, from, to core.TargetID) []Move {
 	var moves []Move
 	for _, k := range l.keys {
-		if k.Target == from && uint32(k.Key.Shard) < c.MaxShards {
+		if k.Target == from && !c.Fixed[k.Key.Shard] && uint32(k.Key.Shard) < c.KeyShards {
 			moves = append(moves, Move{
 				Service: c.Service, Shard: k.Key.Shard, ByKey: true, Hash: k.Key.Hash, From: from, To: to, Rate: k.Rate,
 			})
 		}
 	}
 	for _, shard := range slices.Sorted(maps.Keys(l.shards)) {
-		if sh := l.shards[shard]; sh.Target == from {
+		if sh := l.shards[shard]; sh.Target == from && !c.Fixed[shard] {
 			moves = append(moves, Move{Service: c.Service, Shard: shard, From: from, To: to, Rate: sh.Rate})
 		}
 	}
 	return moves
 }
+
+// coldPart is the part of the mean load of a target below which a shard that was
+// moved for its load may be placed freely again.
+const coldPart = 0.02
+
+// Withdraw returns one automatic choice whose reason is gone: its shard has
+// become cold.
+func Withdraw(c CellLoad, reports map[core.VM]Report, table *cell.Table) (cell.Pin, bool) {
+	l := merge(c, reports)
+	if len(l.rate) < 2 {
+		return cell.Pin{}, false
+	}
+	_, _, mean := l.extremes()
+	for _, shard := range slices.Sorted(maps.Keys(table.Pins[c.Service])) {
+		pin := table.Pins[c.Service][shard]
+		if pin.Automatic && mean >= minExcess && l.shards[shard].Rate < coldPart*mean {
+			return cell.Pin{Service: c.Service, Shard: shard, Automatic: true}, true
+		}
+	}
+	return cell.Pin{}, false
+}
--- a/internal/rebalance/rebalance_test.go
+++ b/internal/rebalance/rebalance_test.go
@@ -24,7 +24,7 @@
 
 // workload is a cell of targets under keys of unequal frequency.
 type workload struct {
-	cell   Cell
+	cell   CellLoad
 	shards uint32
 	owner  map[core.Shard]core.TargetID
 	hot    map[uint64]core.Shard // keys with a shard of their own
@@ -33,7 +33,7 @@
 
 func newWorkload(targets int, shards uint32, rate map[uint64]float64) *workload {
 	w := &workload{
-		cell:   Cell{Service: "archivio", MaxShards: shards},
+		cell:   CellLoad{Service: "archivio", KeyShards: shards},
 		shards: shards, owner: map[core.Shard]core.TargetID{}, hot: map[uint64]core.Shard{}, rate: rate,
 	}
 	for i := range targets {
--- /dev/null
+++ b/internal/rebalance/task.go
@@ -0,0 +1,197 @@
+package rebalance
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/cell"
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/task"
+)
+
+const (
+	mailboxSize   = 4096
+	reportPeriod  = 5 * time.Second
+	reportTimeout = time.Second
+	assignTimeout = 3 * time.Second
+	reportTTL     = 3 * reportPeriod // after which a report counts no more
+	maxHotKeys    = 256              // keys of one service with a shard of their own, in one cell
+)
+
+// Cell is this daemon's part in its cell.
+type Cell interface {
+	Table() *cell.Table
+	Coordinator() core.VM
+	Tenure() cell.Tenure
+	Assign(ctx context.Context, p cell.Pin) error
+}
+
+// Peers carries reports to the coordinator.
+type Peers interface {
+	ReportLoad(ctx context.Context, to config.VM, from core.VM, r Report) error
+}
+
+type message interface{ isMessage() }
+
+type sent struct{ request Request }
+
+type reported struct {
+	from   core.VM
+	report Report
+}
+
+type configChanged struct{ state *config.State }
+
+func (sent) isMessage()          {}
+func (reported) isMessage()      {}
+func (configChanged) isMessage() {}
+
+// Task owns this daemon's tracker and, while this daemon coordinates its cell,
+// the reports of the cell's members.
+type Task struct {
+	self    core.VM
+	cell    Cell
+	peers   Peers
+	mailbox task.Mailbox[message]
+	moved   func(Move)
+
+	state   *config.State
+	tracker *Tracker
+	reports map[core.VM]Report
+	heard   map[core.VM]time.Time
+}
+
+// NewTask returns the task of daemon self. It calls moved, from its own
+// goroutine, with each move that it asks for; moved must not wait.
+func NewTask(self core.VM, c Cell, p Peers, moved func(Move)) *Task {
+	return &Task{
+		self: self, cell: c, peers: p, moved: moved,
+		mailbox: task.NewMailbox[message]("rebalance", mailboxSize),
+		state:   config.NewState(),
+		reports: map[core.VM]Report{},
+		heard:   map[core.VM]time.Time{},
+	}
+}
+
+// Sent counts one keyed request. A full mailbox loses it.
+func (t *Task) Sent(r Request) { _ = t.mailbox.Post(sent{r}) }
+
+// Reported takes a member's report.
+func (t *Task) Reported(from core.VM, r Report) error { return t.mailbox.Post(reported{from, r}) }
+
+// ConfigChanged delivers the state in force.
+func (t *Task) ConfigChanged(s *config.State) { _ = t.mailbox.Post(configChanged{s}) }
+
+// Serve runs the task until ctx ends.
+func (t *Task) Serve(ctx context.Context) error {
+	t.tracker = NewTracker(time.Now())
+	ticker := time.NewTicker(reportPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case m := <-t.mailbox.C():
+			t.handle(m)
+		case now := <-ticker.C:
+			t.report(ctx, now)
+		}
+	}
+}
+
+func (t *Task) handle(m message) {
+	switch m := m.(type) {
+	case sent:
+		t.tracker.Observe(m.request)
+	case reported:
+		t.reports[m.from] = m.report
+		t.heard[m.from] = time.Now()
+	case configChanged:
+		t.state = m.state
+	}
+}
+
+// report sends this daemon's load to the coordinator, which decides.
+func (t *Task) report(ctx context.Context, now time.Time) {
+	r := t.tracker.Report(now)
+	if now.Before(t.cell.Tenure().Until) {
+		t.reports[t.self], t.heard[t.self] = r, now
+		t.decide(ctx, now)
+		return
+	}
+	clear(t.reports)
+	clear(t.heard)
+	if to, ok := t.state.VMs[t.cell.Coordinator()]; ok && len(r.Services) > 0 {
+		go t.send(ctx, to, r)
+	}
+}
+
+func (t *Task) send(ctx context.Context, to config.VM, r Report) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	_ = t.peers.ReportLoad(ctx, to, t.self, r)
+}
+
+// decide asks for at most one move of each service.
+func (t *Task) decide(ctx context.Context, now time.Time) {
+	for vm, at := range t.heard {
+		if now.Sub(at) > reportTTL {
+			delete(t.reports, vm)
+			delete(t.heard, vm)
+		}
+	}
+	table := t.cell.Table()
+	for name, svc := range t.state.Services {
+		if !svc.Keyed {
+			continue
+		}
+		c := describe(table, svc)
+		if settled(table, name) {
+			t.ask(ctx, c, table)
+		}
+	}
+}
+
+func (t *Task) ask(ctx context.Context, c CellLoad, table *cell.Table) {
+	if p, ok := Withdraw(c, t.reports, table); ok {
+		go t.assign(ctx, p)
+		return
+	}
+	if m, ok := Balance(c, t.reports); ok {
+		t.moved(m)
+		go t.assign(ctx, cell.Pin{
+			Service: m.Service, Shard: m.Shard, Key: m.ByKey, Hash: m.Hash, Target: m.To, Automatic: true,
+		})
+	}
+}
+
+func (t *Task) assign(ctx context.Context, p cell.Pin) {
+	ctx, cancel := context.WithTimeout(ctx, assignTimeout)
+	defer cancel()
+	_ = t.cell.Assign(ctx, p)
+}
+
+// describe returns what a decision needs of one service.
+func describe(table *cell.Table, svc config.Service) CellLoad {
+	c := CellLoad{Service: svc.Name, KeyShards: svc.Shards, Fixed: map[core.Shard]bool{}}
+	for id, e := range table.Targets {
+		if e.Target.Service == svc.Name && !e.Target.Leaving {
+			c.Targets = append(c.Targets, id)
+		}
+	}
+	slices.Sort(c.Targets)
+	for shard, pin := range table.Pins[svc.Name] {
+		c.Fixed[shard] = !pin.Automatic
+	}
+	if len(table.HotKeys[svc.Name]) >= maxHotKeys {
+		c.KeyShards = 0
+	}
+	return c
+}
+
+// settled reports whether no shard of the service is on its way.
+func settled(table *cell.Table, service core.Service) bool {
+	return !slices.ContainsFunc(table.Shards[service], func(a cell.Assignment) bool { return a.Releasing })
+}
--- /dev/null
+++ b/internal/serve/load.go
@@ -0,0 +1,28 @@
+package serve
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/comfreynotch/comfreynotch/internal/dispatch"
+	"github.com/comfreynotch/comfreynotch/internal/exchange"
+	"github.com/comfreynotch/comfreynotch/internal/rebalance"
+)
+
+// Loads counts the keyed requests that are sent, for the placement of shards.
+type Loads interface {
+	Sent(r rebalance.Request)
+}
+
+func (s *Server) count(slot dispatch.Slot, r *exchange.Request) {
+	if s.Loads == nil || r.Key == "" {
+		return
+	}
+	hash := xxhash.Sum64String(r.Key)
+	shard, own := s.Ownership.Table().HotKey(r.Service, hash)
+	if !own {
+		shard = r.Shard
+	}
+	s.Loads.Sent(rebalance.Request{
+		Service: r.Service, Target: slot.Target.ID, Key: rebalance.KeyID{Shard: shard, Hash: hash},
+	})
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -68,6 +68,7 @@
 	Sender    Sender
 	Forwarder Forwarder
 	Spread    Spread
+	Loads     Loads // nil: nothing is counted
 }
 
 // Serve admits, routes and runs r. On an error the answer is nil and the error
@@ -190,6 +191,7 @@
 		s.Slots.Release(slot, exchange.Attempt{Code: err.Code, Ran: err.Ran})
 		return nil, err
 	}
+	s.count(slot, r)
 	if r.Repeatable && step.Target == "" && slot.HedgeAfter > 0 {
 		return s.hedged(ctx, svc, slot, need, r)
 	}
