Grant shards to targets and prove their release

A table's assignment said nothing to its target, and nobody proved that an owner had stopped. Now the dispatcher of a target grants its shards for 700 ms and renews them, drains and withdraws what the table asks back, and reports to the coordinator what has provably ended.

Dispatch counts the requests of each shard and target, refuses those of a shard that is handed over, and says when none is left. A request checks the member lease and the grant at the moment of sending.

--- a/bench/cell_test.go
+++ b/bench/cell_test.go
@@ -24,7 +24,7 @@
 		DataCentres: []cluster.DataCentre{{Name: "padana-a", VMs: 3}},
 		Services: []cluster.Service{{
 			Name: "archivio", Keyed: true, Shards: 16, Targets: 2,
-			Target: faketarget.Options{Slots: 4, Connections: 120},
+			Target: faketarget.Options{Slots: 4, Connections: 120, ChecksFence: true},
 		}},
 		Workspaces: []cluster.Workspace{{Name: "lab", Rate: 1e6, Burst: 1e6}},
 	}, cluster.Options{Folder: t.TempDir()})
@@ -32,7 +32,7 @@
 	for _, vm := range c.VMs {
 		_, err := vm.Operate().PutService(ctx, &operatorspb.PutServiceRequest{
 			Change:  &operatorspb.Change{RequestId: "service-archivio"},
-			Service: &operatorspb.Service{Name: "archivio", Keyed: true, Shards: 16, RepeatableGet: true},
+			Service: &operatorspb.Service{Name: "archivio", Keyed: true, Shards: 16, ChecksFence: true, RepeatableGet: true},
 		})
 		is.NoErr(err)
 	}
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -128,7 +128,7 @@
 type Timing struct {
 	Election    lease.Timing
 	MemberTTL   time.Duration // of a member's lease
-	GrantTTL    time.Duration // of a target\'s grants
+	GrantTTL    time.Duration // of a target's grants
 	Margin      time.Duration // for clocks of unequal rate, over one lease
 	AnnounceTTL time.Duration // a target stays known after the loss of the member that heard it
 }
@@ -144,7 +144,7 @@
 			Margin: 15 * time.Millisecond,
 		},
 		MemberTTL:   750 * time.Millisecond,
-		GrantTTL:    600 * time.Millisecond,
+		GrantTTL:    700 * time.Millisecond,
 		Margin:      15 * time.Millisecond,
 		AnnounceTTL: 3 * time.Second,
 	}
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -73,7 +73,7 @@
 
 // SetFacts takes what this member has proved about what it dispatches.
 func (n *Node) SetFacts(f Facts, now time.Time) []Send {
-	if n.member.facts.equal(f) {
+	if n.member.facts.Equal(f) {
 		return nil
 	}
 	n.member.facts = f
--- a/internal/cell/peer.go
+++ b/internal/cell/peer.go
@@ -37,7 +37,7 @@
 	if p.takeNews(s.News) {
 		changed = true
 	}
-	if !p.facts.equal(s.Facts) {
+	if !p.facts.Equal(s.Facts) {
 		p.facts = s.Facts
 		changed = true
 	}
@@ -61,7 +61,8 @@
 	return true
 }
 
-func (f Facts) equal(o Facts) bool {
+// Equal reports whether both say the same.
+func (f Facts) Equal(o Facts) bool {
 	return slices.Equal(f.Shards, o.Shards) && slices.Equal(f.Targets, o.Targets) &&
 		slices.Equal(f.Down, o.Down) && slices.Equal(f.Held, o.Held) && f.FenceSeen == o.FenceSeen
 }
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -2,9 +2,13 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/cell"
 	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/dispatch"
+	"github.com/comfreynotch/comfreynotch/internal/grant"
+	"github.com/comfreynotch/comfreynotch/internal/granthttp"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 )
@@ -14,12 +18,31 @@
 	return cell.NewTask(core.VM(s.VM), core.Cell(s.Cell), innerproto.NewCellTransport(nil, "http"), d.tableChanged)
 }
 
+// newGrant returns the task that grants shards to this daemon's targets.
+func (d *Daemon) newGrant(s *settings.Settings) *grant.Task {
+	return grant.NewTask(core.VM(s.VM), granthttp.NewSender(), d.dispatch, d.cell, func(f cell.Facts) {
+		_ = d.cell.Post(cell.FactsChanged{Facts: f})
+	})
+}
+
 // tableChanged hands a table in force to the tasks that act on it.
 func (d *Daemon) tableChanged(t *cell.Table) {
 	d.dispatch.TableChanged(t)
+	d.grant.TableChanged()
 }
 
 // handleCell serves the other members of the cell.
 func (d *Daemon) handleCell(mux *http.ServeMux) {
 	mux.Handle(innerproto.CellPathPrefix, innerproto.CellHandler(d.cell))
 }
+
+// ownership is what this daemon may send, as requests see it.
+type ownership struct {
+	*cell.Task
+	grants *grant.Task
+}
+
+// Owns reports whether the slot's target owns its shard by a live grant.
+func (o ownership) Owns(s dispatch.Slot, now time.Time) bool {
+	return o.grants.View().Live(s.Target.ID, s.Shard, s.Fence, now)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
+	"github.com/comfreynotch/comfreynotch/internal/grant"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
@@ -40,6 +41,7 @@
 	recorder   *timeline.Recorder
 	membership *membership.Task
 	cell       *cell.Task
+	grant      *grant.Task
 	dispatch   *dispatch.Task
 	quota      *quota.Task
 	policy     operators.Policy
@@ -72,6 +74,7 @@
 	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s, metrics.EventDropped), policy: policy, metrics: metrics}
 	d.dispatch = dispatch.NewTask(self)
 	d.cell = d.newCell(s)
+	d.grant = d.newGrant(s)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
@@ -81,7 +84,7 @@
 		Self:      self,
 		Config:    d.registry.State(),
 		Limiter:   d.quota,
-		Ownership: d.cell,
+		Ownership: ownership{d.cell, d.grant},
 		Slots:     d.dispatch,
 		Sender:    upstream.New(),
 		Forwarder: innerproto.NewForwarder(),
@@ -97,6 +100,7 @@
 	d.quota.ConfigChanged(s)
 	d.dispatch.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
+	d.grant.ConfigChanged(s)
 }
 
 func (d *Daemon) supervise() {
@@ -109,6 +113,7 @@
 	d.root.Add(d.dispatch)
 	d.root.Add(d.quota)
 	d.root.Add(d.cell)
+	d.root.Add(d.grant)
 	d.root.Add(d.membership)
 	d.root.Add(d.registry)
 	for _, s := range d.servers() {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -30,6 +30,7 @@
 	Service   core.Service
 	Workspace core.Workspace
 	Target    core.TargetID // empty: any target of the service
+	Shard     core.Shard    // of a need with a Target
 	Fence     core.Fence
 	Deadline  time.Time
 	Attempt   int           // earlier sends of the same request
@@ -43,6 +44,8 @@
 	Fence      core.Fence
 	Patience   time.Duration // without a first byte, after which the connection is suspect
 	HedgeAfter time.Duration // without a first byte, after which a hedge pays; 0: not known
+	Shard      core.Shard
+	keyed      bool // Shard is meant
 }
 
 // Ticket identifies a waiting need.
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -74,6 +74,7 @@
 	tickets  map[task.Reply[Grant]]Ticket
 	next     Ticket
 	inFlight int
+	drains   *drains
 	table    task.Snapshot[tableVersion]
 	idle     []task.Reply[struct{}]
 
@@ -89,6 +90,7 @@
 		control: task.NewMailbox[message]("dispatch control", controlSize),
 		pools:   map[core.Service]*Pool{},
 		replies: map[Ticket]task.Reply[Grant]{},
+		drains:  newDrains(),
 		tickets: map[task.Reply[Grant]]Ticket{},
 		table:   task.NewSnapshot(&tableVersion{changed: make(chan struct{})}),
 	}
@@ -198,6 +200,10 @@
 		t.next++
 		t.replies[t.next] = m.reply
 		t.tickets[m.reply] = t.next
+		if err := t.drains.admit(t.next, m.need); err != nil {
+			t.deliver([]Grant{{Ticket: t.next, Err: err}})
+			return
+		}
 		t.deliver(t.pool(m.need.Service).Acquire(t.next, m.need, now))
 	case cancel:
 		t.cancel(m, now)
@@ -209,6 +215,8 @@
 		t.update(m.table, now)
 	case configChanged:
 		t.configure(m.state)
+	case drain:
+		t.startDrain(m)
 	case awaitIdle:
 		t.idle = append(t.idle, m.reply)
 		t.answerIdle()
@@ -217,6 +225,7 @@
 
 func (t *Task) release(s Slot, a exchange.Attempt, now time.Time) {
 	t.inFlight--
+	t.drains.release(s)
 	t.deliver(t.pool(s.Target.Service).Release(s, a, now))
 	t.answerIdle()
 }
@@ -224,6 +233,7 @@
 // cancel withdraws a waiting need, or gives back the slot that it got meanwhile.
 func (t *Task) cancel(m cancel, now time.Time) {
 	if ticket, ok := t.tickets[m.reply]; ok {
+		t.drains.withdraw(ticket)
 		t.pool(m.service).Cancel(ticket)
 		t.forget(ticket, m.reply)
 		t.answerIdle()
@@ -247,7 +257,7 @@
 func (t *Task) update(table *cell.Table, now time.Time) {
 	byService := map[core.Service][]core.Target{}
 	for _, e := range table.Targets {
-		if e.Dispatcher == t.self {
+		if e.Dispatcher == t.self && !e.Releasing {
 			byService[e.Target.Service] = append(byService[e.Target.Service], e.Target)
 		}
 	}
@@ -295,6 +305,7 @@
 	for _, g := range grants {
 		if reply, ok := t.replies[g.Ticket]; ok {
 			t.forget(g.Ticket, reply)
+			g = t.drains.settle(g)
 			reply.Answer(g)
 			if g.Err == nil {
 				t.inFlight++
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -27,6 +27,8 @@
 type Ownership interface {
 	Table() *cell.Table
 	Lease() cell.Lease
+	// Owns reports whether the slot's target owns its shard by a live grant.
+	Owns(s dispatch.Slot, now time.Time) bool
 }
 
 // Slots hands out slots of the targets that this daemon dispatches.
@@ -107,14 +109,14 @@
 		Service:   r.Service,
 		Workspace: r.Workspace,
 		Target:    step.Target,
+		Shard:     r.Shard,
 		Fence:     step.Fence,
 		Deadline:  r.Deadline,
 	})
 	if err != nil {
 		return nil, err
 	}
-	if !s.Ownership.Lease().Live(time.Now()) {
-		refusal := result.New(result.NoLease, "this daemon's lease in cell %s has run out", s.Ownership.Table().Cell)
+	if refusal := s.mayNotSend(slot, svc); refusal != nil {
 		s.Slots.Release(slot, exchange.Attempt{Code: refusal.Code, Ran: refusal.Ran})
 		return nil, refusal
 	}
@@ -126,3 +128,16 @@
 	answer.Stream = closeThen{answer.Stream, func() { s.Slots.Release(slot, attempt) }}
 	return answer, nil
 }
+
+// mayNotSend is asked at the moment of sending: a paused daemon may have lost
+// its lease, and a target its grant, since the slot was given.
+func (s *Server) mayNotSend(slot dispatch.Slot, svc config.Service) *result.Error {
+	now := time.Now()
+	if !s.Ownership.Lease().Live(now) {
+		return result.New(result.NoLease, "this daemon's lease in cell %s has run out", s.Ownership.Table().Cell)
+	}
+	if svc.Keyed && !s.Ownership.Owns(slot, now) {
+		return result.New(result.NotOwner, "target %s has no live grant of shard %d", slot.Target.ID, slot.Shard)
+	}
+	return nil
+}
--- a/internal/shape/shape_test.go
+++ b/internal/shape/shape_test.go
@@ -17,7 +17,7 @@
 
 // edges are the packages without a decisions layer.
 var edges = map[string]bool{
-	"task": true, "innerproto": true, "innerpb": true, "gateway": true, "upstream": true,
+	"task": true, "innerproto": true, "innerpb": true, "gateway": true, "upstream": true, "granthttp": true,
 	"announce": true, "operators": true, "daemon": true, "telemetry": true, "settings": true,
 	"storage": true, "serve": true, "security": true, "shape": true,
 }
