--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -15,7 +15,7 @@
 
 // newCell returns the task of this daemon's part in its cell.
 func (d *Daemon) newCell(s *settings.Settings) *cell.Task {
-	return cell.NewTask(core.VM(s.VM), core.Cell(s.Cell), innerproto.NewCellTransport(nil, "http"), d.tableChanged)
+	return cell.NewTask(core.VM(s.VM), core.Cell(s.Cell), d.cellTransport(), d.tableChanged)
 }
 
 // newGrant returns the task that grants shards to this daemon's targets.
@@ -29,6 +29,7 @@
 func (d *Daemon) tableChanged(t *cell.Table) {
 	d.dispatch.TableChanged(t)
 	d.grant.TableChanged()
+	d.recorder.TableChanged(t)
 }
 
 // handleCell serves the other members of the cell.
@@ -46,3 +47,8 @@
 func (o ownership) Owns(s dispatch.Slot, now time.Time) bool {
 	return o.grants.View().Live(s.Target.ID, s.Shard, s.Fence, now)
 }
+
+// cellTransport carries calls to members of cells.
+func (d *Daemon) cellTransport() *innerproto.CellTransport {
+	return innerproto.NewCellTransport(nil, "http")
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
 	"github.com/comfreynotch/comfreynotch/internal/grant"
+	"github.com/comfreynotch/comfreynotch/internal/hotkeys"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
@@ -44,6 +45,7 @@
 	grant      *grant.Task
 	dispatch   *dispatch.Task
 	quota      *quota.Task
+	hotkeys    *hotkeys.Task
 	policy     operators.Policy
 	metrics    *telemetry.Metrics
 	pipeline   *serve.Server
@@ -71,8 +73,10 @@
 		return nil, err
 	}
 	self := core.VM(s.VM)
-	d := &Daemon{settings: s, logger: logger, listeners: bound, recorder: newRecorder(s, metrics.EventDropped), policy: policy, metrics: metrics}
+	d := &Daemon{settings: s, logger: logger, listeners: bound, policy: policy, metrics: metrics}
+	d.recorder = d.newRecorder(s)
 	d.dispatch = dispatch.NewTask(self)
+	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
 	d.grant = d.newGrant(s)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
@@ -112,6 +116,7 @@
 	d.root.Add(d.recorder)
 	d.root.Add(d.dispatch)
 	d.root.Add(d.quota)
+	d.root.Add(d.hotkeys)
 	d.root.Add(d.cell)
 	d.root.Add(d.grant)
 	d.root.Add(d.membership)
