--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -51,6 +51,13 @@
 	return h.VM, live
 }
 
+// Coordinating reports whether this member holds the cell's lease and has
+// taken over its table.
+func (n *Node) Coordinating(now time.Time) bool {
+	_, held := n.elector.Held(now)
+	return held && n.coordinator != nil && n.coordinator.table != nil
+}
+
 // SetConfig takes the configuration in force.
 func (n *Node) SetConfig(s *config.State, now time.Time) []Send {
 	n.state = s
--- a/internal/grant/book.go
+++ b/internal/grant/book.go
@@ -70,7 +70,7 @@
 	if t.deadline == 0 {
 		t.deadline = defaultDeadline
 	}
-	t.become(e, now)
+	t.become(e)
 	return t
 }
 
@@ -259,12 +259,12 @@
 
 // become takes a new announcement of the target under the same placement. The
 // grants of another run of it stay in doubt until they have run out.
-func (t *tenure) become(e cell.TargetEntry, now time.Time) {
+func (t *tenure) become(e cell.TargetEntry) {
 	old := t.entry.Target
 	t.entry = e
 	if old.Address == e.Target.Address && (old.Incarnation == e.Target.Incarnation || e.Target.Incarnation == t.incarnation) {
 		return
 	}
 	t.stale = false
-	t.replaced(Reply{Incarnation: e.Target.Incarnation}, now)
+	t.replaced(Reply{Incarnation: e.Target.Incarnation})
 }
--- a/internal/grant/order.go
+++ b/internal/grant/order.go
@@ -27,10 +27,12 @@
 	// Since is the target's own clock as its last answer gave it. The time to
 	// live counts from there, so that an order that waits in a frozen target's
 	// buffer extends nothing. Zero: the target gave no clock.
-	Since  time.Duration
-	Reset  bool
-	Add    []ShardFence
-	Remove []ShardFence
+	Since time.Duration
+	// Incarnation is the run that gave Since; another run carries nothing out.
+	Incarnation core.Incarnation
+	Reset       bool
+	Add         []ShardFence
+	Remove      []ShardFence
 }
 
 // Reply is a target's answer to an Order.
@@ -41,6 +43,7 @@
 	Incarnation core.Incarnation
 	Clock       time.Duration // its own clock; zero: not given
 	Held        []HeldShard   // answer to a probe
+	Count       int           // shards that it holds; answer to an order
 }
 
 // HeldShard is a grant that a target says it holds.
--- a/internal/grant/task.go
+++ b/internal/grant/task.go
@@ -94,7 +94,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case m := <-t.mailbox.C():
-			t.handle(ctx, m)
+			t.handle(m)
 		case <-ticker.C:
 			changed = false
 		}
@@ -118,7 +118,7 @@
 	}
 }
 
-func (t *Task) handle(ctx context.Context, m message) {
+func (t *Task) handle(m message) {
 	switch m := m.(type) {
 	case configChanged:
 		t.book.SetConfig(m.state)
--- a/internal/grant/tenure.go
+++ b/internal/grant/tenure.go
@@ -34,6 +34,7 @@
 	mayHold time.Time                 // end of the grants at the latest for the target
 	ended   core.Fence                // assignments up to here have run out
 	down    bool                      // it does not answer, and its grants have ended
+	doubt   bool                      // another run answered before the grants of one ended
 	stale   bool                      // it has seen a newer fence
 
 	wanted   map[core.Shard]cell.Assignment // by the table
@@ -66,11 +67,11 @@
 
 // due returns the next order, if one is due.
 func (t *tenure) due(now time.Time) (Order, bool) {
-	if t.open != nil || now.Before(t.next) || t.stale || t.handover.idle {
+	if t.open != nil || now.Before(t.next) || t.stale || t.doubt || t.handover.idle {
 		return Order{}, false
 	}
 	t.seq++
-	o := Order{Target: t.entry.Target, Seq: t.seq, Holder: t.entry.Fence, TTL: t.timing.TTL, Since: t.clock}
+	o := Order{Target: t.entry.Target, Seq: t.seq, Holder: t.entry.Fence, TTL: t.timing.TTL, Since: t.clock, Incarnation: t.incarnation}
 	if !t.probed || !t.checks || t.down {
 		o.Probe = true
 	} else {
@@ -147,7 +148,7 @@
 		t.stale = true
 		return
 	case t.incarnation != 0 && r.Incarnation != 0 && r.Incarnation != t.incarnation:
-		t.replaced(r, now)
+		t.replaced(r)
 		return
 	}
 	t.next = t.sentAt.Add(t.timing.Renew)
@@ -157,9 +158,15 @@
 	t.extend(o)
 	t.incarnation = r.Incarnation
 	t.clock, t.clockSent, t.clockGot = r.Clock, t.sentAt, now
+	if !o.Probe && r.Count < len(t.granted) {
+		// The target counts faster than we do and let some go: add them again.
+		t.granted, t.next = map[core.Shard]core.Fence{}, now
+	}
 	if o.Probe {
-		t.probed, t.held = true, r.Held
-		t.down = false
+		t.probed, t.held, t.down = true, r.Held, false
+		if silent := now.Add(t.timing.TTL + t.timing.Margin); silent.After(t.mayHold) {
+			t.mayHold = silent
+		}
 	}
 }
 
@@ -190,16 +197,12 @@
 
 // replaced notes that another run of the target answered. The grants of the
 // one before stay in doubt until they have run out.
-func (t *tenure) replaced(r Reply, now time.Time) {
-	t.until = time.Time{}
+func (t *tenure) replaced(r Reply) {
+	t.until, t.doubt = time.Time{}, true
 	t.granted = map[core.Shard]core.Fence{}
-	t.next = t.mayHold
 	if r.Incarnation < t.incarnation {
 		t.stale = true // two targets under one id; the newer one counts
 	}
-	if t.next.Before(now) {
-		t.next = now
-	}
 }
 
 // lapse ends the grants that ran out without a renewal: assignments up to
@@ -212,7 +215,7 @@
 	if t.down || now.Before(end) {
 		return false
 	}
-	t.ended, t.down = newest, true
+	t.ended, t.down, t.doubt = newest, true, false
 	t.until = time.Time{}
 	t.granted = map[core.Shard]core.Fence{}
 	t.incarnation, t.clock = 0, 0
--- a/internal/granthttp/granthttp.go
+++ b/internal/granthttp/granthttp.go
@@ -23,13 +23,14 @@
 
 // orderBody is the document of POST /comfreynotch/v1/grants.
 type orderBody struct {
-	Service string       `json:"service"`
-	Holder  string       `json:"holder"`
-	TTLms   int64        `json:"ttl_ms"`
-	SinceMs int64        `json:"since_ms,omitempty"`
-	Reset   bool         `json:"reset,omitempty"`
-	Add     []shardFence `json:"add,omitempty"`
-	Remove  []shardFence `json:"remove,omitempty"`
+	Service     string       `json:"service"`
+	Holder      string       `json:"holder"`
+	TTLms       int64        `json:"ttl_ms"`
+	SinceMs     int64        `json:"since_ms,omitempty"`
+	Incarnation uint64       `json:"incarnation,omitempty"`
+	Reset       bool         `json:"reset,omitempty"`
+	Add         []shardFence `json:"add,omitempty"`
+	Remove      []shardFence `json:"remove,omitempty"`
 }
 
 type shardFence struct {
@@ -41,6 +42,7 @@
 type answerBody struct {
 	Incarnation uint64      `json:"incarnation"`
 	ClockMs     int64       `json:"clock_ms"`
+	Held        int         `json:"held"`
 	Shards      []heldShard `json:"shards"`
 	Fence       string      `json:"fence"`
 }
@@ -100,7 +102,7 @@
 func toBody(o grant.Order) orderBody {
 	b := orderBody{
 		Service: string(o.Target.Service), Holder: o.Holder.String(), TTLms: o.TTL.Milliseconds(),
-		SinceMs: o.Since.Milliseconds(), Reset: o.Reset,
+		SinceMs: o.Since.Milliseconds(), Incarnation: uint64(o.Incarnation), Reset: o.Reset,
 	}
 	for _, a := range o.Add {
 		b.Add = append(b.Add, shardFence{uint32(a.Shard), a.Fence.String()})
@@ -132,6 +134,7 @@
 func toReply(b answerBody) grant.Reply {
 	r := grant.Reply{
 		Incarnation: core.Incarnation(b.Incarnation), Clock: time.Duration(b.ClockMs) * time.Millisecond,
+		Count: b.Held,
 	}
 	for _, s := range b.Shards {
 		if f, err := core.ParseFence(s.Fence); err == nil {
