--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -29,6 +29,7 @@
 func (d *Daemon) tableChanged(t *cell.Table) {
 	d.dispatch.TableChanged(t)
 	d.grant.TableChanged()
+	d.serving.tableChanged(t)
 	d.recorder.TableChanged(t)
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
+	"github.com/comfreynotch/comfreynotch/internal/spread"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 	"github.com/comfreynotch/comfreynotch/internal/telemetry"
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
@@ -46,6 +47,7 @@
 	quota      *quota.Task
 	hotkeys    *hotkeys.Task
 	policy     operators.Policy
+	serving    serving
 	metrics    *telemetry.Metrics
 	pipeline   *serve.Server
 }
@@ -70,6 +72,7 @@
 	d := &Daemon{settings: s, logger: logger, listeners: bound, policy: policy, metrics: metrics}
 	d.recorder = d.newRecorder(s)
 	d.dispatch = dispatch.NewTask(self)
+	d.serving = serving{upstream: upstream.New(self), spread: spread.NewTask()}
 	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
 	d.grant = d.newGrant(s)
@@ -81,15 +84,7 @@
 		return nil, fmt.Errorf("registry: %w", err)
 	}
 	d.quota = quota.NewTask(self, core.Cell(s.Cell), authority{self: self}, innerproto.NewQuotaClient(http.DefaultClient), d.registry)
-	d.pipeline = &serve.Server{
-		Self:      self,
-		Config:    d.registry.State(),
-		Limiter:   d.quota,
-		Ownership: ownership{d.cell, d.grant},
-		Slots:     d.dispatch,
-		Sender:    upstream.New(),
-		Forwarder: innerproto.NewForwarder(),
-	}
+	d.pipeline = d.newPipeline()
 	d.metrics.Observe(d.view)
 	d.supervise()
 	return d, nil
@@ -111,7 +106,7 @@
 		_ = level.Warn(d.logger).Log("msg", "task event", "event", event)
 	})
 	d.root.Add(d.recorder)
-	d.root.Add(d.dispatch)
+	d.superviseServing()
 	d.root.Add(d.quota)
 	d.root.Add(d.hotkeys)
 	d.root.Add(d.cell)
--- a/internal/grant/protocol_test.go
+++ b/internal/grant/protocol_test.go
@@ -15,6 +15,8 @@
 )
 
 func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "15")
 	flag.Parse()
 	os.Exit(m.Run())
 }
