--- a/internal/grant/model_test.go
+++ b/internal/grant/model_test.go
@@ -16,6 +16,7 @@
 
 const (
 	shards      = 12
+	hotKeys     = 4 // at most
 	announceTTL = 2500 * time.Millisecond
 	callTime    = 150 * time.Millisecond
 )
@@ -347,7 +348,7 @@
 }
 
 // sight is the state of all shards at one moment: the oracle's line for each.
-type sight struct{ senders, owners [shards][]claim }
+type sight struct{ senders, owners [shards + hotKeys][]claim }
 
 // look tells who may send each shard's requests now, and which targets take
 // themselves for its owner.
@@ -359,7 +360,7 @@
 			continue
 		}
 		table, view := d.node.Table(), d.book.View()
-		for s := range core.Shard(shards) {
+		for s := range core.Shard(shards + hotKeys) {
 			a, e, ok := table.Owner("s", s)
 			if ok && e.Dispatcher == vm && view.Live(a.Target, s, a.Fence, w.now) {
 				seen.senders[s] = append(seen.senders[s], claim{vm, a.Target, a.Fence})
@@ -380,7 +381,7 @@
 
 // violation names a shard with two owners, if there is one.
 func (s sight) violation() string {
-	for i := range core.Shard(shards) {
+	for i := range s.senders {
 		if all := s.senders[i]; len(all) > 1 {
 			return fmt.Sprintf("shard %d is sent by %v", i, all)
 		}
