--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -18,7 +17,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
 	"github.com/comfreynotch/comfreynotch/internal/grant"
 	"github.com/comfreynotch/comfreynotch/internal/hotkeys"
-	"github.com/comfreynotch/comfreynotch/internal/innerproto"
+	"github.com/comfreynotch/comfreynotch/internal/leadership"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
@@ -44,6 +43,7 @@
 	cell       *cell.Task
 	grant      *grant.Task
 	dispatch   *dispatch.Task
+	leadership *leadership.Task
 	quota      *quota.Task
 	hotkeys    *hotkeys.Task
 	policy     operators.Policy
@@ -83,7 +83,8 @@
 		bound.close()
 		return nil, fmt.Errorf("registry: %w", err)
 	}
-	d.quota = quota.NewTask(self, core.Cell(s.Cell), authority{self: self}, innerproto.NewQuotaClient(http.DefaultClient), d.registry)
+	d.leadership = leadership.NewTask(self, d.registry)
+	d.quota = d.newQuota()
 	d.pipeline = d.newPipeline()
 	d.metrics.Observe(d.view)
 	d.supervise()
@@ -107,6 +108,7 @@
 	})
 	d.root.Add(d.recorder)
 	d.superviseServing()
+	d.root.Add(d.leadership)
 	d.root.Add(d.quota)
 	d.root.Add(d.hotkeys)
 	d.root.Add(d.cell)
