--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
+	"github.com/comfreynotch/comfreynotch/internal/grant"
 	"github.com/comfreynotch/comfreynotch/internal/hotkeys"
 	"github.com/comfreynotch/comfreynotch/internal/leadership"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
@@ -41,6 +42,7 @@
 	recorder   *timeline.Recorder
 	membership *membership.Task
 	cell       *cell.Task
+	grant      *grant.Task
 	dispatch   *dispatch.Task
 	leadership *leadership.Task
 	quota      *quota.Task
@@ -75,6 +77,7 @@
 	d.serving = serving{upstream: upstream.New(self), spread: spread.NewTask()}
 	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
+	d.grant = d.newGrant(s)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
@@ -98,6 +101,7 @@
 	d.rebalance.ConfigChanged(s)
 	d.dispatch.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
+	d.grant.ConfigChanged(s)
 }
 
 func (d *Daemon) supervise() {
@@ -113,6 +117,7 @@
 	d.root.Add(d.hotkeys)
 	d.root.Add(d.rebalance)
 	d.root.Add(d.cell)
+	d.root.Add(d.grant)
 	d.root.Add(d.membership)
 	for _, s := range d.registry.tasks() {
 		d.root.Add(s)
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -26,7 +26,7 @@
 		Self:      core.VM(d.settings.VM),
 		Config:    d.registry.State(),
 		Limiter:   d.quota,
-		Ownership: d.cell,
+		Ownership: ownership{d.cell, d.grant},
 		Slots:     d.dispatch,
 		Sender:    d.serving.upstream,
 		Forwarder: innerproto.NewForwarder(),
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -14,9 +14,9 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.checks", "300")
+	flag.Parse()
 	os.Exit(m.Run())
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -30,6 +30,8 @@
 type Ownership interface {
 	Table() *cell.Table
 	Lease() cell.Lease
+	// Owns reports whether the slot's target owns its shard by a live grant.
+	Owns(s dispatch.Slot, now time.Time) bool
 }
 
 // Slots hands out slots of the targets that this daemon dispatches.
@@ -175,6 +177,7 @@
 		Service:   r.Service,
 		Workspace: r.Workspace,
 		Target:    step.Target,
+		Shard:     r.Shard,
 		Fence:     step.Fence,
 		Deadline:  r.Deadline,
 		Attempt:   r.Attempt,
@@ -207,8 +210,9 @@
 // mayStillSend checks, after the wait for a slot, that this daemon still holds
 // the right to send to the target, and the target the shard.
 func (s *Server) mayStillSend(slot dispatch.Slot, r *exchange.Request) *result.Error {
+	now := time.Now()
 	table := s.Ownership.Table()
-	if !s.Ownership.Lease().Live(time.Now()) {
+	if !s.Ownership.Lease().Live(now) {
 		return result.New(result.NoLease, "this daemon's lease in cell %s has run out", table.Cell)
 	}
 	if table.Targets[slot.Target.ID].Dispatcher != s.Self {
@@ -220,6 +224,9 @@
 	if a, _, ok := table.Owner(r.Service, r.Shard); !ok || a.Target != slot.Target.ID || a.Fence != slot.Fence {
 		return result.New(result.NotOwner, "shard %d of %s moved", r.Shard, r.Service)
 	}
+	if !s.Ownership.Owns(slot, now) {
+		return result.New(result.NotOwner, "target %s has no live grant of shard %d", slot.Target.ID, r.Shard)
+	}
 	return nil
 }
 
