--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -193,6 +193,9 @@
 	}
 	c.dirty, c.signature, c.pins = false, s, nil
 	next := Plan(c.table, in)
+	if in.Settled && len(in.Targets) > 0 {
+		c.hint = nil // it served its one purpose
+	}
 	if Diff(c.table, next).empty() {
 		return false
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,11 +15,13 @@
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
+	"github.com/comfreynotch/comfreynotch/internal/grant"
 	"github.com/comfreynotch/comfreynotch/internal/hotkeys"
 	"github.com/comfreynotch/comfreynotch/internal/leadership"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
+	"github.com/comfreynotch/comfreynotch/internal/rebalance"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/spread"
@@ -40,10 +42,12 @@
 	recorder   *timeline.Recorder
 	membership *membership.Task
 	cell       *cell.Task
+	grant      *grant.Task
 	dispatch   *dispatch.Task
 	leadership *leadership.Task
 	quota      *quota.Task
 	hotkeys    *hotkeys.Task
+	rebalance  *rebalance.Task
 	policy     operators.Policy
 	serving    serving
 	metrics    *telemetry.Metrics
@@ -73,6 +77,7 @@
 	d.serving = serving{upstream: upstream.New(self), spread: spread.NewTask()}
 	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
+	d.grant = d.newGrant(s)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
@@ -82,6 +87,7 @@
 	}
 	d.leadership = leadership.NewTask(self, d.registry)
 	d.quota = d.newQuota()
+	d.rebalance = d.newRebalance()
 	d.pipeline = d.newPipeline()
 	d.metrics.Observe(d.view)
 	d.supervise()
@@ -92,8 +98,10 @@
 func (d *Daemon) configChanged(s *config.State) {
 	d.recorder.ConfigurationChanged(s)
 	d.quota.ConfigChanged(s)
+	d.rebalance.ConfigChanged(s)
 	d.dispatch.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
+	d.grant.ConfigChanged(s)
 }
 
 func (d *Daemon) supervise() {
@@ -107,7 +115,9 @@
 	d.root.Add(d.leadership)
 	d.root.Add(d.quota)
 	d.root.Add(d.hotkeys)
+	d.root.Add(d.rebalance)
 	d.root.Add(d.cell)
+	d.root.Add(d.grant)
 	d.root.Add(d.membership)
 	for _, s := range d.registry.tasks() {
 		d.root.Add(s)
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -26,11 +26,12 @@
 		Self:      core.VM(d.settings.VM),
 		Config:    d.registry.State(),
 		Limiter:   d.quota,
-		Ownership: d.cell,
+		Ownership: ownership{d.cell, d.grant},
 		Slots:     d.dispatch,
 		Sender:    d.serving.upstream,
 		Forwarder: innerproto.NewForwarder(),
 		Spread:    d.serving.spread,
+		Loads:     d.rebalance,
 	}
 }
 
