--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -51,6 +51,29 @@
 	return h.VM, live
 }
 
+// Coordinating reports whether this member holds the cell's lease and has
+// taken over its table.
+func (n *Node) Coordinating(now time.Time) bool {
+	_, held := n.elector.Held(now)
+	return held && n.coordinator != nil && n.coordinator.table != nil
+}
+
+// Tenure is a member's coordination of its cell. Tenures of one cell never
+// overlap.
+type Tenure struct {
+	Number lease.Number
+	Until  time.Time // by this member's clock; zero: it does not coordinate
+}
+
+// Tenure is this member's coordination at now.
+func (n *Node) Tenure(now time.Time) Tenure {
+	number, held := n.elector.Held(now)
+	if !held {
+		return Tenure{}
+	}
+	return Tenure{Number: number, Until: n.elector.Until()}
+}
+
 // SetConfig takes the configuration in force.
 func (n *Node) SetConfig(s *config.State, now time.Time) []Send {
 	n.state = s
@@ -73,7 +96,7 @@
 
 // SetFacts takes what this member has proved about what it dispatches.
 func (n *Node) SetFacts(f Facts, now time.Time) []Send {
-	if n.member.facts.equal(f) {
+	if n.member.facts.Equal(f) {
 		return nil
 	}
 	n.member.facts = f
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -16,13 +15,16 @@
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
+	"github.com/comfreynotch/comfreynotch/internal/grant"
 	"github.com/comfreynotch/comfreynotch/internal/hotkeys"
-	"github.com/comfreynotch/comfreynotch/internal/innerproto"
+	"github.com/comfreynotch/comfreynotch/internal/leadership"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
+	"github.com/comfreynotch/comfreynotch/internal/rebalance"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
+	"github.com/comfreynotch/comfreynotch/internal/spread"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 	"github.com/comfreynotch/comfreynotch/internal/telemetry"
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
@@ -40,10 +42,14 @@
 	recorder   *timeline.Recorder
 	membership *membership.Task
 	cell       *cell.Task
+	grant      *grant.Task
 	dispatch   *dispatch.Task
+	leadership *leadership.Task
 	quota      *quota.Task
 	hotkeys    *hotkeys.Task
+	rebalance  *rebalance.Task
 	policy     operators.Policy
+	serving    serving
 	metrics    *telemetry.Metrics
 	pipeline   *serve.Server
 }
@@ -68,8 +74,10 @@
 	d := &Daemon{settings: s, logger: logger, listeners: bound, policy: policy, metrics: metrics}
 	d.recorder = d.newRecorder(s)
 	d.dispatch = dispatch.NewTask(self)
+	d.serving = serving{upstream: upstream.New(self), spread: spread.NewTask()}
 	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
+	d.grant = d.newGrant(s)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
@@ -77,16 +85,10 @@
 		bound.close()
 		return nil, fmt.Errorf("registry: %w", err)
 	}
-	d.quota = quota.NewTask(self, core.Cell(s.Cell), authority{self: self}, innerproto.NewQuotaClient(http.DefaultClient), d.registry)
-	d.pipeline = &serve.Server{
-		Self:      self,
-		Config:    d.registry.State(),
-		Limiter:   d.quota,
-		Ownership: d.cell,
-		Slots:     d.dispatch,
-		Sender:    upstream.New(),
-		Forwarder: innerproto.NewForwarder(),
-	}
+	d.leadership = leadership.NewTask(self, d.registry)
+	d.quota = d.newQuota()
+	d.rebalance = d.newRebalance()
+	d.pipeline = d.newPipeline()
 	d.metrics.Observe(d.view)
 	d.supervise()
 	return d, nil
@@ -96,8 +98,10 @@
 func (d *Daemon) configChanged(s *config.State) {
 	d.recorder.ConfigurationChanged(s)
 	d.quota.ConfigChanged(s)
+	d.rebalance.ConfigChanged(s)
 	d.dispatch.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
+	d.grant.ConfigChanged(s)
 }
 
 func (d *Daemon) supervise() {
@@ -107,10 +111,13 @@
 		_ = level.Warn(d.logger).Log("msg", "task event", "event", event)
 	})
 	d.root.Add(d.recorder)
-	d.root.Add(d.dispatch)
+	d.superviseServing()
+	d.root.Add(d.leadership)
 	d.root.Add(d.quota)
 	d.root.Add(d.hotkeys)
+	d.root.Add(d.rebalance)
 	d.root.Add(d.cell)
+	d.root.Add(d.grant)
 	d.root.Add(d.membership)
 	for _, s := range d.registry.tasks() {
 		d.root.Add(s)
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -43,6 +43,8 @@
 	number   Number
 	highest  Number // newest number heard of
 	promises map[core.VM]bool
+	askedOwn bool // the own acceptor was asked for its promise
+	outbid   bool // a voter promised a newer number to another
 	open     []proposal
 	seq      uint64
 	until    time.Time // end of the own lease, zero: none
@@ -92,11 +94,8 @@
 // Observe raises the next ballot above a number that was seen elsewhere. A
 // holder below it prepares again.
 func (e *Elector) Observe(n Number) {
-	if e.highest.Less(n) {
-		e.highest = n
-	}
-	if e.phase == proposing && e.number.Less(n) && e.number.Epoch == n.Epoch {
-		e.phase = idle
+	if n.Epoch == e.electorate.Epoch {
+		e.raise(n)
 	}
 }
 
@@ -106,7 +105,7 @@
 	if e.electorate.index(e.self.VM) < 0 || now.Before(e.next) {
 		return nil
 	}
-	if e.phase == proposing && (now.Before(e.until) || e.justProposed(now)) {
+	if e.phase == proposing && !e.outbid && (now.Before(e.until) || e.justProposed(now)) {
 		return e.propose(now)
 	}
 	if other {
@@ -140,13 +139,27 @@
 	e.highest = e.number
 	e.phase = preparing
 	e.promises = map[core.VM]bool{}
-	e.open = nil
+	e.open, e.outbid, e.askedOwn = nil, false, false
 	e.next = now.Add(e.timing.Wait + e.random(e.timing.Wait))
 	var out []Send
 	for _, v := range e.electorate.Voters() {
-		out = append(out, Send{To: v, Prepare: &Prepare{Number: e.number, Holder: e.self}})
+		if v != e.self.VM {
+			out = append(out, Send{To: v, Prepare: &Prepare{Number: e.number, Holder: e.self}})
+		}
 	}
-	return out
+	return append(out, e.askOwn()...)
+}
+
+// askOwn asks the own acceptor once its promise is the last that the quorum
+// lacks. A member that the others refuse then keeps no promise that would make
+// it refuse the holder.
+func (e *Elector) askOwn() []Send {
+	lacksOwn := e.electorate.Quorum(func(v core.VM) bool { return v == e.self.VM || e.promises[v] })
+	if e.askedOwn || !lacksOwn {
+		return nil
+	}
+	e.askedOwn = true
+	return []Send{{To: e.self.VM, Prepare: &Prepare{Number: e.number, Holder: e.self}}}
 }
 
 func (e *Elector) propose(now time.Time) []Send {
@@ -173,7 +186,7 @@
 	}
 	e.promises[from] = true
 	if !e.electorate.Quorum(func(v core.VM) bool { return e.promises[v] }) {
-		return nil
+		return e.askOwn()
 	}
 	e.phase = proposing
 	return e.propose(now)
@@ -207,13 +220,14 @@
 	return false
 }
 
-// raise remembers a number promised elsewhere; a proposer below it starts over.
+// raise remembers a number promised elsewhere. A proposer below it prepares
+// again when its next proposal is due, and holds its lease until then.
 func (e *Elector) raise(n Number) {
 	if e.highest.Less(n) {
 		e.highest = n
 	}
 	if e.phase == proposing && e.number.Less(n) {
-		e.phase = idle
+		e.outbid = true
 	}
 }
 
