Keep a key at one owner when it gets a shard of its own

Cause: a request that waited for the owner of its shard was sent there after its key had moved, and a key's own shard was released while a request admitted under the old shard still ran: two targets could serve one key. Found by reading; shown by TestQueuedRequestFollowsItsHotKey, which sent to t0 instead of t1, and by TestHotKeyDrainsFromItsOldShardToo. Change: the check at the moment of sending asks for the key's shard again; needs carry the key's hash, and the own shard of a key drains by key. Conclusion: a key that is split off follows the same rule as a shard that moves.

--- a/internal/dispatch/drains.go
+++ b/internal/dispatch/drains.go
@@ -11,22 +11,37 @@
 	shard   core.Shard
 }
 
+// keyHash names one key of one service.
+type keyHash struct {
+	service core.Service
+	hash    uint64
+}
+
+// place is what a need counts on.
+type place struct {
+	shard shardKey
+	key   keyHash
+}
+
 // drains counts the requests that wait or run on each shard and each target,
 // refuses new ones on shards that are handed back, and says when none is left.
 type drains struct {
-	waiting map[Ticket]shardKey // keyed needs without an answer
-	shards  map[shardKey]int    // needs that wait or run
+	waiting map[Ticket]place // keyed needs without an answer
+	shards  map[shardKey]int // needs that wait or run
+	keys    map[keyHash]int  // needs that wait or run, whatever shard the key had
 	targets map[core.TargetID]int
 	closed  map[shardKey]core.Fence // assignments up to the fence take no needs
 
 	shardIdle  map[shardKey][]func()
+	keyIdle    map[keyHash][]func()
 	targetIdle map[core.TargetID][]func()
 }
 
 func newDrains() *drains {
 	return &drains{
-		waiting: map[Ticket]shardKey{}, shards: map[shardKey]int{}, targets: map[core.TargetID]int{},
-		closed: map[shardKey]core.Fence{}, shardIdle: map[shardKey][]func(){}, targetIdle: map[core.TargetID][]func(){},
+		waiting: map[Ticket]place{}, shards: map[shardKey]int{}, keys: map[keyHash]int{}, targets: map[core.TargetID]int{},
+		closed: map[shardKey]core.Fence{}, shardIdle: map[shardKey][]func(){}, keyIdle: map[keyHash][]func(){},
+		targetIdle: map[core.TargetID][]func(){},
 	}
 }
 
@@ -39,38 +54,41 @@
 	if closed, ok := d.closed[k]; ok && !closed.Less(n.Fence) {
 		return result.New(result.NotOwner, "shard %d of %s is handed over", n.Shard, n.Service)
 	}
-	d.waiting[ticket] = k
-	d.shards[k]++
+	p := place{k, keyHash{n.Service, n.Key}}
+	d.waiting[ticket] = p
+	d.shards[p.shard]++
+	d.keys[p.key]++
 	return nil
 }
 
 // settle takes the answer to a need and returns it with the shard in its slot.
 func (d *drains) settle(g Grant) Grant {
-	k, keyed := d.waiting[g.Ticket]
+	p, keyed := d.waiting[g.Ticket]
 	delete(d.waiting, g.Ticket)
 	if g.Err != nil {
 		if keyed {
-			d.leaveShard(k)
+			d.leave(p)
 		}
 		return g
 	}
-	g.Slot.keyed, g.Slot.Shard = keyed, k.shard
+	g.Slot.keyed, g.Slot.Shard, g.Slot.key = keyed, p.shard.shard, p.key.hash
 	d.targets[g.Slot.Target.ID]++
 	return g
 }
 
 // withdraw forgets a need whose caller left.
 func (d *drains) withdraw(ticket Ticket) {
-	if k, ok := d.waiting[ticket]; ok {
+	if p, ok := d.waiting[ticket]; ok {
 		delete(d.waiting, ticket)
-		d.leaveShard(k)
+		d.leave(p)
 	}
 }
 
 // release counts the end of a request.
 func (d *drains) release(s Slot) {
 	if s.keyed {
-		d.leaveShard(shardKey{s.Target.Service, s.Shard})
+		service := s.Target.Service
+		d.leave(place{shardKey{service, s.Shard}, keyHash{service, s.key}})
 	}
 	id := s.Target.ID
 	if d.targets[id]--; d.targets[id] <= 0 {
@@ -80,11 +98,16 @@
 	}
 }
 
-func (d *drains) leaveShard(k shardKey) {
-	if d.shards[k]--; d.shards[k] <= 0 {
-		delete(d.shards, k)
-		call(d.shardIdle[k])
-		delete(d.shardIdle, k)
+func (d *drains) leave(p place) {
+	if d.shards[p.shard]--; d.shards[p.shard] <= 0 {
+		delete(d.shards, p.shard)
+		call(d.shardIdle[p.shard])
+		delete(d.shardIdle, p.shard)
+	}
+	if d.keys[p.key]--; d.keys[p.key] <= 0 {
+		delete(d.keys, p.key)
+		call(d.keyIdle[p.key])
+		delete(d.keyIdle, p.key)
 	}
 }
 
@@ -101,6 +124,21 @@
 	d.shardIdle[k] = append(d.shardIdle[k], done)
 }
 
+// drainKey drains the shard that one key has for itself. A request for the key
+// may have been admitted when it still belonged to another shard, so the key
+// itself must be idle.
+func (d *drains) drainKey(k shardKey, hash uint64, fence core.Fence, done func()) {
+	if d.closed[k].Less(fence) {
+		d.closed[k] = fence
+	}
+	key := keyHash{k.service, hash}
+	if d.keys[key] == 0 {
+		done()
+		return
+	}
+	d.keyIdle[key] = append(d.keyIdle[key], done)
+}
+
 // drainTarget calls done when no request runs on the target. The table that
 // asks for it has already stopped new ones.
 func (d *drains) drainTarget(id core.TargetID, done func()) {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -31,6 +31,7 @@
 	Workspace core.Workspace
 	Target    core.TargetID // empty: any target of the service
 	Shard     core.Shard    // of a need with a Target
+	Key       uint64        // hash of the key, of a need with a Target
 	Fence     core.Fence
 	Deadline  time.Time
 	Attempt   int           // earlier sends of the same request
@@ -45,7 +46,8 @@
 	Patience   time.Duration // without a first byte, after which the connection is suspect
 	HedgeAfter time.Duration // without a first byte, after which a hedge pays; 0: not known
 	Shard      core.Shard
-	keyed      bool   // Shard is meant
+	key        uint64
+	keyed      bool   // Shard and key are meant
 	Load       uint32 // of the service here, in thousandths of what its targets bear
 }
 
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -75,6 +75,7 @@
 	next     Ticket
 	inFlight int
 	drains   *drains
+	hotKeys  map[shardKey]uint64 // shards that hold a single key, and its hash
 	table    task.Snapshot[tableVersion]
 	idle     []task.Reply[struct{}]
 
@@ -255,6 +256,7 @@
 }
 
 func (t *Task) update(table *cell.Table, now time.Time) {
+	t.setHotKeys(table)
 	byService := map[core.Service][]core.Target{}
 	for _, e := range table.Targets {
 		if e.Dispatcher == t.self && !e.Releasing {
--- a/internal/dispatch/task_drain.go
+++ b/internal/dispatch/task_drain.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "github.com/comfreynotch/comfreynotch/internal/grant"
+import (
+	"github.com/comfreynotch/comfreynotch/internal/cell"
+	"github.com/comfreynotch/comfreynotch/internal/grant"
+)
 
 // drain asks for the end of the work on one assignment or one target.
 type drain struct {
@@ -16,11 +19,26 @@
 	return t.control.Post(drain{d, done})
 }
 
+// setHotKeys notes which shards hold a single key.
+func (t *Task) setHotKeys(table *cell.Table) {
+	t.hotKeys = map[shardKey]uint64{}
+	for service, keys := range table.HotKeys {
+		for hash, shard := range keys {
+			t.hotKeys[shardKey{service, shard}] = hash
+		}
+	}
+}
+
 func (t *Task) startDrain(m drain) {
 	if id := m.drain.Target.Target; id != "" {
 		t.drains.drainTarget(id, m.done)
 		return
 	}
 	s := m.drain.Shard
-	t.drains.drainShard(shardKey{s.Service, s.Shard}, s.Fence, m.done)
+	k := shardKey{s.Service, s.Shard}
+	if hash, own := t.hotKeys[k]; own {
+		t.drains.drainKey(k, hash, s.Fence, m.done)
+		return
+	}
+	t.drains.drainShard(k, s.Fence, m.done)
 }
--- a/internal/operators/choices.go
+++ b/internal/operators/choices.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/comfreynotch/comfreynotch/internal/cell"
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
@@ -58,7 +56,7 @@
 func (c Choices) keyPin(s core.Service, key string, to core.TargetID) cell.Pin {
 	return cell.Pin{
 		Service: s, Shard: routing.Shard(key, c.Registry.Current().Services[s].Shards),
-		Key: true, Hash: xxhash.Sum64String(key), Target: to,
+		Key: true, Hash: routing.Hash(key), Target: to,
 	}
 }
 
@@ -109,7 +107,7 @@
 	table, shards := c.Here.Table(), c.Registry.Current().Services[s].Shards
 	keys := make([]HotKey, 0, len(found))
 	for _, k := range found {
-		shard, own := table.HotKey(s, xxhash.Sum64String(k.Key))
+		shard, own := table.HotKey(s, routing.Hash(k.Key))
 		if !own {
 			shard = routing.Shard(k.Key, shards)
 		}
--- a/internal/operators/explain.go
+++ b/internal/operators/explain.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/comfreynotch/comfreynotch/api/operatorspb"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/routing"
@@ -55,7 +53,7 @@
 		x.Reasons = append(x.Reasons, fmt.Sprintf("this daemon is in cell %s; a daemon of cell %s knows the owner", table.Cell, home))
 		return
 	}
-	if own, ok := table.HotKey(service, xxhash.Sum64String(x.GetKey())); ok {
+	if own, ok := table.HotKey(service, routing.Hash(x.GetKey())); ok {
 		x.Reasons = append(x.Reasons, fmt.Sprintf("the key has shard %d for itself, because an operator pinned it", own))
 		shard = own
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -20,9 +20,12 @@
 // cell and one to the dispatcher in it.
 const MaxForwards = 2
 
+// Hash returns the hash by which tables name a key.
+func Hash(key string) uint64 { return xxhash.Sum64String(key) }
+
 // Shard returns the shard of a key.
 func Shard(key string, shards uint32) core.Shard {
-	return core.Shard(xxhash.Sum64String(key) % uint64(shards))
+	return core.Shard(Hash(key) % uint64(shards))
 }
 
 // Step is where a request goes next. Without Here it is forwarded to Forward.
@@ -79,7 +82,7 @@
 	if home != p.Table.Cell {
 		return toCell(p, home, uint64(r.Shard)+uint64(r.Attempt))
 	}
-	if hot, ok := p.Table.HotKey(r.Service, xxhash.Sum64String(r.Key)); ok {
+	if hot, ok := p.Table.HotKey(r.Service, Hash(r.Key)); ok {
 		r.Shard = hot
 	}
 	a, entry, ok := p.Table.Owner(r.Service, r.Shard)
--- a/internal/serve/load.go
+++ b/internal/serve/load.go
@@ -1,11 +1,10 @@
 package serve
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
 	"github.com/comfreynotch/comfreynotch/internal/exchange"
 	"github.com/comfreynotch/comfreynotch/internal/rebalance"
+	"github.com/comfreynotch/comfreynotch/internal/routing"
 )
 
 // Loads counts the keyed requests that are sent, for the placement of shards.
@@ -17,7 +16,7 @@
 	if s.Loads == nil || r.Key == "" {
 		return
 	}
-	hash := xxhash.Sum64String(r.Key)
+	hash := routing.Hash(r.Key)
 	shard, own := s.Ownership.Table().HotKey(r.Service, hash)
 	if !own {
 		shard = r.Shard
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -178,6 +178,7 @@
 		Workspace: r.Workspace,
 		Target:    step.Target,
 		Shard:     r.Shard,
+		Key:       routing.Hash(r.Key),
 		Fence:     step.Fence,
 		Deadline:  r.Deadline,
 		Attempt:   r.Attempt,
@@ -221,6 +222,9 @@
 	if slot.Fence.IsZero() {
 		return nil
 	}
+	if own, ok := table.HotKey(r.Service, routing.Hash(r.Key)); ok && own != r.Shard {
+		return result.New(result.NotOwner, "the key has a shard of its own now")
+	}
 	if a, _, ok := table.Owner(r.Service, r.Shard); !ok || a.Target != slot.Target.ID || a.Fence != slot.Fence {
 		return result.New(result.NotOwner, "shard %d of %s moved", r.Shard, r.Service)
 	}
