Protect the inner and operators' listeners by mutual TLS

Daemons spoke plain text wherever they listened.

Package security reads certificate, key and authority files, looks at them every 5 s and takes changed ones into force without a restart; files that do not fit together leave the former keys in force and are reported. Listeners with key files take TLS 1.3 with a certificate of the authority (the operators' listener also without one where tokens are accepted), and every connection proves its certificate anew. All clients of the inner protocol share one transport that dials by TLS; the settings' check already wants key files, or words, for addresses that are not loopback.

--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -51,5 +51,5 @@
 
 // cellTransport carries calls to members of cells.
 func (d *Daemon) cellTransport() *innerproto.CellTransport {
-	return innerproto.NewCellTransport(nil, "http")
+	return innerproto.NewCellTransport(&http.Client{Transport: d.secured.transport}, "http")
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,6 +49,7 @@
 	hotkeys    *hotkeys.Task
 	rebalance  *rebalance.Task
 	policy     operators.Policy
+	secured    secured
 	serving    serving
 	metrics    *telemetry.Metrics
 	pipeline   *serve.Server
@@ -72,6 +73,10 @@
 	}
 	self := core.VM(s.VM)
 	d := &Daemon{settings: s, logger: logger, listeners: bound, policy: policy, metrics: metrics}
+	if err := d.secure(s, policy); err != nil {
+		bound.close()
+		return nil, err
+	}
 	d.recorder = d.newRecorder(s)
 	d.dispatch = dispatch.NewTask(self)
 	d.serving = serving{upstream: upstream.New(self), spread: spread.NewTask()}
@@ -119,7 +124,7 @@
 	d.root.Add(d.cell)
 	d.root.Add(d.grant)
 	d.root.Add(d.membership)
-	for _, s := range d.registry.tasks() {
+	for _, s := range append(d.registry.tasks(), d.secured.tasks...) {
 		d.root.Add(s)
 	}
 	for _, s := range d.servers() {
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -30,7 +30,7 @@
 		Assigner: choices,
 		HotKeys:  choices,
 		Recorder: d.recorder,
-		Peers:    innerproto.NewEventsClient(innerproto.StampedTransport(d.recorder, http.DefaultTransport)),
+		Peers:    innerproto.NewEventsClient(innerproto.StampedTransport(d.recorder, d.secured.transport)),
 		View:     d.view,
 	})
 	return operators.Authenticate(d.policy, operatorspb.NewOperatorsServer(server))
--- a/internal/daemon/quota.go
+++ b/internal/daemon/quota.go
@@ -15,7 +15,7 @@
 
 func (d *Daemon) newQuota() *quota.Task {
 	self := core.VM(d.settings.VM)
-	client := &http.Client{Transport: innerproto.StampedTransport(d.recorder, newInnerTransport())}
+	client := &http.Client{Transport: innerproto.StampedTransport(d.recorder, d.secured.transport)}
 	a := authority{self: self, cell: d.cell, leadership: d.leadership}
 	return quota.NewTask(self, core.Cell(d.settings.Cell), a, innerproto.NewQuotaClient(client), d.registry)
 }
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -40,7 +40,7 @@
 		copy: configsync.NewTask(configjson.Codec{}, d.configChanged),
 	}
 	c.voters = voterAddresses(s, c.self.Address)
-	c.client = innerproto.NewRegistryClient(c.self, innerproto.StampedTransport(d.recorder, newInnerTransport()))
+	c.client = innerproto.NewRegistryClient(c.self, innerproto.StampedTransport(d.recorder, d.secured.transport))
 	if s.Registry != nil || len(c.voters) == 0 {
 		replica, err := d.newReplica(c)
 		if err != nil {
@@ -118,8 +118,6 @@
 	return state
 }
 
-func newInnerTransport() http.RoundTripper { return http.DefaultTransport.(*http.Transport).Clone() }
-
 // tasks returns the tasks to supervise.
 func (c *configuration) tasks() []task.Service {
 	tasks := []task.Service{
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -29,7 +29,7 @@
 		Ownership: ownership{d.cell, d.grant},
 		Slots:     d.dispatch,
 		Sender:    d.serving.upstream,
-		Forwarder: innerproto.NewForwarder(),
+		Forwarder: innerproto.NewForwarder(d.secured.dial),
 		Spread:    d.serving.spread,
 		Loads:     d.rebalance,
 	}
--- a/internal/innerproto/forwarder.go
+++ b/internal/innerproto/forwarder.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -33,10 +34,11 @@
 // Forwarder sends requests to other daemons over pooled connections.
 type Forwarder struct{ transport *http.Transport }
 
-// NewForwarder returns a forwarder without open connections.
-func NewForwarder() *Forwarder {
+// NewForwarder returns a forwarder without open connections. dial opens them, by
+// witness.Dial or with TLS over it.
+func NewForwarder(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Forwarder {
 	return &Forwarder{transport: &http.Transport{
-		DialContext:            witness.Dial,
+		DialContext:            dial,
 		MaxIdleConnsPerHost:    maxIdleForwards,
 		IdleConnTimeout:        forwardIdleTimeout,
 		DisableCompression:     true,
--- /dev/null
+++ b/internal/security/security_test.go
@@ -0,0 +1,159 @@
+package security
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"errors"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var farAway = time.Date(2200, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// authority signs the keys of a test.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true,
+		BasicConstraintsValid: true, NotAfter: farAway, KeyUsage: x509.KeyUsageCertSign,
+	}
+	a.cert, a.key = a.sign(template, nil)
+	return a
+}
+
+func (a *authority) sign(template *x509.Certificate, by *authority) (*x509.Certificate, *ecdsa.PrivateKey) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	parent, signer := template, key
+	if by != nil {
+		parent, signer = by.cert, by.key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return cert, key
+}
+
+// issue writes the key files of a VM at 127.0.0.1 into folder.
+func (a *authority) issue(folder string) Files {
+	cert, key := a.sign(&x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: "vm"}, NotAfter: farAway,
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}, a)
+	der, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	f := Files{filepath.Join(folder, "cert.pem"), filepath.Join(folder, "key.pem"), filepath.Join(folder, "ca.pem")}
+	for path, block := range map[string]*pem.Block{
+		f.Certificate: {Type: "CERTIFICATE", Bytes: cert.Raw},
+		f.Key:         {Type: "PRIVATE KEY", Bytes: der},
+		f.Authority:   {Type: "CERTIFICATE", Bytes: a.cert.Raw},
+	} {
+		if err := os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
+			a.t.Fatal(err)
+		}
+	}
+	return f
+}
+
+// greet makes one connection from client to a listener and reads one byte.
+func greet(t *testing.T, server, client *Task) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	secure := server.Listener(l, CertificateRequired)
+	defer secure.Close()
+	go func() {
+		if c, err := secure.Accept(); err == nil {
+			_, _ = c.Write([]byte("x"))
+			c.Close()
+		}
+	}()
+	c, err := client.Dial(new(net.Dialer).DialContext)(t.Context(), "tcp", l.Addr().String())
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	_, err = io.ReadFull(c, make([]byte, 1))
+	return err
+}
+
+func newTask(t *testing.T, f Files) *Task {
+	task, err := NewTask(f, func(error) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return task
+}
+
+// TestOnlyTheSameAuthorityConnects: both sides refuse a side that another
+// authority signed.
+func TestOnlyTheSameAuthorityConnects(t *testing.T) {
+	is := is.New(t)
+	ours, theirs := newAuthority(t), newAuthority(t)
+	a, b := newTask(t, ours.issue(t.TempDir())), newTask(t, ours.issue(t.TempDir()))
+	stranger := newTask(t, theirs.issue(t.TempDir()))
+	is.NoErr(greet(t, a, b))
+	is.True(greet(t, stranger, a) != nil) // the client refuses the server
+	half := ours.issue(t.TempDir())
+	strange := theirs.issue(t.TempDir())
+	half.Certificate, half.Key = strange.Certificate, strange.Key
+	is.True(greet(t, a, newTask(t, half)) != nil) // the server refuses the client
+}
+
+// TestReloadWithoutRestart: keys of a new authority come into force by
+// themselves, and damaged files leave the keys before them in force.
+func TestReloadWithoutRestart(t *testing.T) {
+	is := is.New(t)
+	first, second := newAuthority(t), newAuthority(t)
+	folder := t.TempDir()
+	files := first.issue(folder)
+	_, err := NewTask(Files{files.Certificate, files.Key, files.Key}, nil)
+	is.True(err != nil) // no authority
+	newcomer := newTask(t, second.issue(t.TempDir()))
+	synctest.Test(t, func(t *testing.T) {
+		var reported error
+		server, err := NewTask(files, func(err error) { reported = errors.Join(reported, err) })
+		is.NoErr(err)
+		go func() { _ = server.Serve(t.Context()) }()
+		before := server.keys.Load()
+		is.NoErr(os.WriteFile(files.Key, []byte("half"), 0o600))
+		time.Sleep(2 * reloadPeriod)
+		synctest.Wait()
+		is.Equal(server.keys.Load(), before)
+		is.True(reported != nil)
+		second.issue(folder)
+		time.Sleep(2 * reloadPeriod)
+		synctest.Wait()
+		is.True(server.keys.Load() != before)
+	})
+	is.NoErr(greet(t, newTask(t, files), newcomer))
+}
