Claim idempotency keys at a majority before a request is sent

A resend with the same idempotency key ran again.

The daemon where a request comes in now claims its key (workspace, service and key) at a majority of the key's claim cell and keeps the claim under the request's id over all of its attempts. A resend gets the stored answer, or "may have run"; after a proved "not run" the claim is withdrawn. The claim cell is chosen by rendezvous hashing over the cells that are not stated dead, so that neither moves of shards nor taking data centres out moves a claim.

Claims live in memory. A member that started votes on a service only once it fetched the claims of enough complete members to meet every majority it may have been part of, or the service is younger than it, or every earlier claim has expired. Members that were asked for their memory contradict the asker's earlier votes. For the second rule a command carries when it was proposed, and a service when it was created; both are outside the digest that tells resends apart.

--- /dev/null
+++ b/internal/claims/task_claim.go
@@ -0,0 +1,66 @@
+package claims
+
+import (
+	"context"
+
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+)
+
+// Acquire asks the members of the claim's cell until their replies decide. The
+// calling goroutine owns the request.
+func (t *Task) Acquire(ctx context.Context, s *config.State, c Claim) (Decision, *Stored) {
+	cell, ok := Home(s, c.Key)
+	if !ok {
+		return Refuse, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	replies := make(chan Reply, len(cell.Members))
+	for _, vm := range cell.Members {
+		go func() { replies <- t.ask(ctx, s, vm, c, cell.Epoch) }()
+	}
+	heard := make([]Reply, 0, len(cell.Members))
+	for range cell.Members {
+		heard = append(heard, <-replies)
+		all := len(heard) == len(cell.Members)
+		if d, answer := Decide(heard, len(cell.Members), all); d != Undecided {
+			return d, answer
+		}
+	}
+	return Refuse, nil
+}
+
+// ask returns the reply of one member; no vote when it can't be had.
+func (t *Task) ask(ctx context.Context, s *config.State, vm core.VM, c Claim, epoch core.Epoch) Reply {
+	var r Reply
+	var err error
+	if vm == t.self {
+		r, err = t.Vote(ctx, c, epoch)
+	} else {
+		r, err = t.peers.Claim(ctx, s.VMs[vm], c, epoch)
+	}
+	if err != nil {
+		return Reply{Member: vm, Verdict: NoVote}
+	}
+	r.Member = vm
+	return r
+}
+
+// Settle tells the members of the claim's cell what became of its request. It
+// does not wait: a member that is not told keeps the claim until it expires.
+func (t *Task) Settle(ctx context.Context, s *config.State, c Claim, ran bool, answer *Stored) {
+	cell, _ := Home(s, c.Key)
+	ctx = context.WithoutCancel(ctx)
+	for _, vm := range cell.Members {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+			defer cancel()
+			if vm == t.self {
+				_ = t.Settled(ctx, c, ran, answer)
+				return
+			}
+			_ = t.peers.Settle(ctx, s.VMs[vm], c, ran, answer)
+		}()
+	}
+}
--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/result"
@@ -14,7 +15,8 @@
 	RequestID string       // resends carry the same id and get the first answer
 	Expected  core.Version // version the operator saw; 0: any
 	Change    Change
-	Digest    Digest // of Change, the same on every replica; it tells a resend from another change
+	At        time.Time // when the proposer took it; zero: not known
+	Digest    Digest    // of Change, the same on every replica; it tells a resend from another change
 }
 
 // Change is one of the Put and Delete types of this package.
@@ -100,14 +102,31 @@
 		return 0, result.New(result.VersionConflict,
 			"version %d is in force, the change expects %d", next.Version, c.Expected)
 	}
+	before := next.Services
+	if _, ok := c.Change.(PutService); ok {
+		before = maps.Clone(before)
+	}
 	if err := c.Change.apply(next); err != nil {
 		return 0, fmt.Errorf("apply %T: %w", c.Change, err)
 	}
+	if put, ok := c.Change.(PutService); ok {
+		next.stampCreated(put.Service.Name, before, c.At)
+	}
 	next.Version++
 	next.Answered.add(c.RequestID, Answer{Version: next.Version, Digest: c.Digest})
 	return next.Version, nil
 }
 
+// stampCreated sets when a service was first accepted; a replaced one keeps it.
+func (s *State) stampCreated(name core.Service, before map[core.Service]Service, at time.Time) {
+	svc := s.Services[name]
+	svc.Created = at
+	if old, ok := before[name]; ok {
+		svc.Created = old.Created
+	}
+	s.Services[name] = svc
+}
+
 func (s *State) clone() *State {
 	return &State{
 		Version:     s.Version,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -82,8 +82,9 @@
 	MaxHeldBytes     int64 // answers up to this size are held until whole
 	QueuePerSlot     int   // waiting requests for each slot
 	IdempotencyTTL   time.Duration
-	DispatchGroup    int // targets of one cell that one member dispatches, at most
-	ConnectionsLimit int // for each target, over the cell; 0: as announced
+	Created          time.Time // when the service was first accepted; zero: not known
+	DispatchGroup    int       // targets of one cell that one member dispatches, at most
+	ConnectionsLimit int       // for each target, over the cell; 0: as announced
 }
 
 // ShardHomes says which cell is home to each shard of a service.
--- a/internal/configjson/configjson.go
+++ b/internal/configjson/configjson.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
@@ -40,6 +41,7 @@
 type wireCommand struct {
 	RequestID string          `json:"request_id"`
 	Expected  core.Version    `json:"expected,omitempty"`
+	At        time.Time       `json:"at,omitzero"`
 	Kind      string          `json:"kind"`
 	Change    json.RawMessage `json:"change"`
 }
@@ -58,7 +60,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode %s: %w", kind, err)
 	}
-	return json.Marshal(wireCommand{c.RequestID, c.Expected, kind, change})
+	return json.Marshal(wireCommand{c.RequestID, c.Expected, c.At, kind, change})
 }
 
 // DecodeCommand reads what EncodeCommand writes. A type of change that a newer
@@ -79,6 +81,7 @@
 	return config.Command{
 		RequestID: w.RequestID,
 		Expected:  w.Expected,
+		At:        w.At,
 		Change:    v.Elem().Interface().(config.Change),
 		Digest:    sha256.Sum256(append([]byte(w.Kind+" "), w.Change...)),
 	}, nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,11 +23,9 @@
 	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
-	"github.com/comfreynotch/comfreynotch/internal/spread"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 	"github.com/comfreynotch/comfreynotch/internal/telemetry"
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
-	"github.com/comfreynotch/comfreynotch/internal/upstream"
 )
 
 // Daemon is one process of the system, assembled but not running.
@@ -70,7 +68,7 @@
 	d := &Daemon{settings: s, logger: logger, listeners: bound, policy: policy, metrics: metrics}
 	d.recorder = d.newRecorder(s)
 	d.dispatch = dispatch.NewTask(self)
-	d.serving = serving{upstream: upstream.New(self), spread: spread.NewTask()}
+	d.serving = newServing(self)
 	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
@@ -92,6 +90,7 @@
 	d.recorder.ConfigurationChanged(s)
 	d.quota.ConfigChanged(s)
 	d.dispatch.ConfigChanged(s)
+	d.serving.claims.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
 }
 
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -1,7 +1,10 @@
 package daemon
 
 import (
+	"net/http"
+
 	"github.com/comfreynotch/comfreynotch/internal/cell"
+	"github.com/comfreynotch/comfreynotch/internal/claims"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
@@ -13,6 +16,15 @@
 type serving struct {
 	upstream *upstream.Client
 	spread   *spread.Task
+	claims   *claims.Task
+}
+
+func newServing(self core.VM) serving {
+	return serving{
+		upstream: upstream.New(self),
+		spread:   spread.NewTask(),
+		claims:   claims.NewTask(self, innerproto.NewClaimsClient(http.DefaultClient)),
+	}
 }
 
 // tableChanged hands a new table of the cell to the tasks of a request's way.
@@ -31,6 +43,7 @@
 		Sender:    d.serving.upstream,
 		Forwarder: innerproto.NewForwarder(),
 		Spread:    d.serving.spread,
+		Claims:    d.serving.claims,
 	}
 }
 
@@ -39,4 +52,5 @@
 	d.root.Add(d.dispatch)
 	d.root.Add(d.serving.upstream)
 	d.root.Add(d.serving.spread)
+	d.root.Add(d.serving.claims)
 }
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -26,6 +26,7 @@
 func (d *Daemon) innerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", innerproto.ForwardHandler(d.pipeline))
+	mux.Handle(innerproto.ClaimsPathPrefix, innerproto.ClaimsHandler(d.serving.claims))
 	mux.Handle(innerproto.QuotaPathPrefix, innerproto.QuotaHandler(d.quota))
 	mux.Handle(innerproto.EventsPath, innerproto.EventsHandler(d.recorder))
 	mux.Handle(innerproto.RegistryPath, d.registry.handler())
--- a/internal/innerproto/innerpb/events.twirp.go
+++ b/internal/innerproto/innerpb/events.twirp.go
@@ -503,7 +503,7 @@
 }
 
 func (s *eventsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *eventsServer) ProtocGenTwirpVersion() string {
@@ -517,7 +517,7 @@
 	return baseServicePath(s.pathPrefix, "comfreynotch.inner", "Events")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 526 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x74, 0x93, 0x4f, 0x93, 0x12, 0x3d,
 	0x10, 0xc6, 0xdf, 0x59, 0x60, 0x96, 0xe9, 0x01, 0xde, 0x35, 0x5a, 0x56, 0xfc, 0xbb, 0x2c, 0x7a,
--- a/internal/innerproto/innerpb/quota.twirp.go
+++ b/internal/innerproto/innerpb/quota.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *quotaServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor2, 0
+	return twirpFileDescriptor3, 0
 }
 
 func (s *quotaServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "comfreynotch.inner", "Quota")
 }
 
-var twirpFileDescriptor2 = []byte{
+var twirpFileDescriptor3 = []byte{
 	// 414 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x92, 0xd1, 0x6b, 0xd4, 0x40,
 	0x10, 0xc6, 0x89, 0x97, 0x54, 0x6f, 0xe2, 0x89, 0x0c, 0x22, 0x41, 0xd4, 0xc6, 0x80, 0x90, 0x07,
--- a/internal/operators/server.go
+++ b/internal/operators/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"time"
 
 	"github.com/comfreynotch/comfreynotch/api/operatorspb"
 	"github.com/comfreynotch/comfreynotch/internal/cell"
@@ -114,6 +115,7 @@
 		RequestID: id,
 		Expected:  core.Version(c.GetExpectedVersion()),
 		Change:    change,
+		At:        time.Now(),
 	})
 	if err != nil {
 		return nil, toTwirp(err)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -68,6 +68,7 @@
 	Sender    Sender
 	Forwarder Forwarder
 	Spread    Spread
+	Claims    Claimer
 }
 
 // Serve admits, routes and runs r. On an error the answer is nil and the error
@@ -86,9 +87,8 @@
 	return answer, nil
 }
 
-// admitted counts r where it came in and serves it until it is answered, or
-// until nothing can be gained by another attempt. Only the daemon where it came
-// in tries again.
+// admitted counts r where it came in and claims its idempotency key. Only the
+// daemon where it came in tries again.
 func (s *Server) admitted(ctx context.Context, r *exchange.Request) (*exchange.Answer, error) {
 	if r.Forwards > 0 {
 		return s.attempt(ctx, r)
@@ -96,6 +96,14 @@
 	if err := s.Limiter.Admit(ctx, r.Workspace); err != nil {
 		return nil, err
 	}
+	if r.IdempotencyKey != "" && !r.Repeatable {
+		return s.claimed(ctx, r)
+	}
+	return s.repeatedly(ctx, r)
+}
+
+// repeatedly makes attempts until one is answered or another gains nothing.
+func (s *Server) repeatedly(ctx context.Context, r *exchange.Request) (*exchange.Answer, error) {
 	var history retry.History
 	var first error
 	for {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/comfreynotch/comfreynotch/internal/cell"
+	"github.com/comfreynotch/comfreynotch/internal/claims"
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
@@ -26,6 +27,7 @@
 	*Server
 	dispatch *dispatch.Task
 	spread   *spread.Task
+	claims   *claims.Task
 	table    task.Snapshot[cell.Table]
 	lease    task.Snapshot[cell.Lease]
 	script   func(ctx context.Context, s dispatch.Slot, number int) (*exchange.Answer, exchange.Attempt, error)
@@ -63,21 +65,26 @@
 		state := config.NewState()
 		state.DataCentres["dc"] = config.DataCentre{Name: "dc", Status: config.DataCentreIn}
 		state.Cells["c"] = config.Cell{Name: "c", DataCentre: "dc", Members: []core.VM{"vm"}}
-		state.Services["open"] = config.Service{Name: "open"}
+		w.claims = claims.NewTask("vm", nil)
+		state.VMs["vm"] = config.VM{Name: "vm", Cell: "c"}
+		state.Services["open"] = config.Service{Name: "open", Created: time.Now()}
 		state.Services["keyed"] = config.Service{Name: "keyed", Keyed: true, Shards: 1}
 		state.Homes["keyed"] = config.ShardHomes{Cells: []core.Cell{"c"}, Home: []uint16{0}}
 		w.Server = &Server{
 			Self: "vm", Config: task.NewSnapshot(state), Limiter: w, Ownership: w,
-			Slots: w.dispatch, Sender: w, Forwarder: w, Spread: w.spread,
+			Slots: w.dispatch, Sender: w, Forwarder: w, Spread: w.spread, Claims: w.claims,
 		}
-		done := make(chan error, 2)
+		done := make(chan error, 3)
 		go func() { done <- w.dispatch.Serve(ctx) }()
 		go func() { done <- w.spread.Serve(ctx) }()
+		go func() { done <- w.claims.Serve(ctx) }()
+		w.claims.ConfigChanged(state)
 		w.assign(1, "t0")
 		test(t, w)
 		cancel()
-		<-done
-		<-done
+		for range cap(done) {
+			<-done
+		}
 	})
 }
 
@@ -236,3 +243,39 @@
 		})
 	}
 }
+
+// TestResendDoesNotRunAgain: a resend with the same idempotency key gets the
+// stored answer, or "may have run" when the outcome is not known; it runs only
+// after "not run".
+func TestResendDoesNotRunAgain(t *testing.T) {
+	cases := []struct {
+		first      result.Code
+		ran        result.Ran
+		resend     result.Code
+		totalSends int
+	}{
+		{result.OK, result.HasRun, result.OK, 1},
+		{result.ConnectionLost, result.MayHaveRun, result.DuplicateRequest, 1},
+		{result.Internal, result.NotRun, result.OK, 2},
+	}
+	for _, test := range cases {
+		inWorld(t, func(t *testing.T, w *world) {
+			is := is.New(t)
+			time.Sleep(2 * time.Second) // the service is older than the clocks' difference
+			w.script = func(_ context.Context, _ dispatch.Slot, number int) (*exchange.Answer, exchange.Attempt, error) {
+				if number == 0 && test.first != result.OK {
+					return failure(test.first, test.ran)
+				}
+				return ok()
+			}
+			for i, want := range []result.Code{test.first, test.resend} {
+				r := request("open", false)
+				r.ID, r.IdempotencyKey = core.RequestID(string(rune('a'+i))), "k"
+				_, err := w.Serve(t.Context(), r)
+				is.Equal(result.CodeOf(err), want)
+				synctest.Wait()
+			}
+			is.Equal(len(w.sent), test.totalSends)
+		})
+	}
+}
