--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -51,6 +51,13 @@
 	return h.VM, live
 }
 
+// Coordinating reports whether this member holds the cell's lease and has
+// taken over its table.
+func (n *Node) Coordinating(now time.Time) bool {
+	_, held := n.elector.Held(now)
+	return held && n.coordinator != nil && n.coordinator.table != nil
+}
+
 // Tenure is a member's coordination of its cell. Tenures of one cell never
 // overlap.
 type Tenure struct {
@@ -89,7 +96,7 @@
 
 // SetFacts takes what this member has proved about what it dispatches.
 func (n *Node) SetFacts(f Facts, now time.Time) []Send {
-	if n.member.facts.equal(f) {
+	if n.member.facts.Equal(f) {
 		return nil
 	}
 	n.member.facts = f
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,11 +15,13 @@
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
+	"github.com/comfreynotch/comfreynotch/internal/grant"
 	"github.com/comfreynotch/comfreynotch/internal/hotkeys"
 	"github.com/comfreynotch/comfreynotch/internal/leadership"
 	"github.com/comfreynotch/comfreynotch/internal/membership"
 	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
+	"github.com/comfreynotch/comfreynotch/internal/rebalance"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/task"
@@ -38,10 +40,12 @@
 	recorder   *timeline.Recorder
 	membership *membership.Task
 	cell       *cell.Task
+	grant      *grant.Task
 	dispatch   *dispatch.Task
 	leadership *leadership.Task
 	quota      *quota.Task
 	hotkeys    *hotkeys.Task
+	rebalance  *rebalance.Task
 	policy     operators.Policy
 	serving    serving
 	metrics    *telemetry.Metrics
@@ -71,6 +75,7 @@
 	d.serving = newServing(self)
 	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
+	d.grant = d.newGrant(s)
 	d.membership = membership.NewTask(targetTTL, func(v *membership.View) {
 		_ = d.cell.Post(cell.TargetsChanged{View: v})
 	})
@@ -80,6 +85,7 @@
 	}
 	d.leadership = leadership.NewTask(self, d.registry)
 	d.quota = d.newQuota()
+	d.rebalance = d.newRebalance()
 	d.pipeline = d.newPipeline()
 	d.metrics.Observe(d.view)
 	d.supervise()
@@ -90,9 +96,11 @@
 func (d *Daemon) configChanged(s *config.State) {
 	d.recorder.ConfigurationChanged(s)
 	d.quota.ConfigChanged(s)
+	d.rebalance.ConfigChanged(s)
 	d.dispatch.ConfigChanged(s)
 	d.serving.claims.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
+	d.grant.ConfigChanged(s)
 }
 
 func (d *Daemon) supervise() {
@@ -106,7 +114,9 @@
 	d.root.Add(d.leadership)
 	d.root.Add(d.quota)
 	d.root.Add(d.hotkeys)
+	d.root.Add(d.rebalance)
 	d.root.Add(d.cell)
+	d.root.Add(d.grant)
 	d.root.Add(d.membership)
 	for _, s := range d.registry.tasks() {
 		d.root.Add(s)
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -27,6 +27,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", innerproto.ForwardHandler(d.pipeline))
 	mux.Handle(innerproto.ClaimsPathPrefix, innerproto.ClaimsHandler(d.serving.claims))
+	mux.Handle(innerproto.LoadPathPrefix, innerproto.LoadHandler(d.rebalance))
 	mux.Handle(innerproto.QuotaPathPrefix, innerproto.QuotaHandler(d.quota))
 	mux.Handle(innerproto.EventsPath, innerproto.EventsHandler(d.recorder))
 	mux.Handle(innerproto.RegistryPath, d.registry.handler())
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -79,6 +79,9 @@
 	if home != p.Table.Cell {
 		return toCell(p, home, uint64(r.Shard)+uint64(r.Attempt))
 	}
+	if hot, ok := p.Table.HotKey(r.Service, xxhash.Sum64String(r.Key)); ok {
+		r.Shard = hot
+	}
 	a, entry, ok := p.Table.Owner(r.Service, r.Shard)
 	if !ok {
 		return Step{}, result.New(result.ShardUnassigned, "shard %d of %s has no owner", r.Shard, r.Service)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -32,10 +32,12 @@
 	lease    task.Snapshot[cell.Lease]
 	script   func(ctx context.Context, s dispatch.Slot, number int) (*exchange.Answer, exchange.Attempt, error)
 	sent     chan core.TargetID
+	noGrant  bool // targets own nothing by a live grant
 }
 
 func (w *world) Table() *cell.Table                          { return w.table.Load() }
 func (w *world) Lease() cell.Lease                           { return *w.lease.Load() }
+func (w *world) Owns(dispatch.Slot, time.Time) bool          { return !w.noGrant }
 func (w *world) Admit(context.Context, core.Workspace) error { return nil }
 
 func (w *world) Send(ctx context.Context, s dispatch.Slot, _ config.Service, _ *exchange.Request) (*exchange.Answer, exchange.Attempt, error) {
@@ -279,3 +281,17 @@
 		})
 	}
 }
+
+// TestNothingIsSentWithoutALiveGrant holds that the owner's grant is checked at
+// the moment of sending, and that the refusal "not run" is true.
+func TestNothingIsSentWithoutALiveGrant(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		w.noGrant = true
+		r := request("keyed", false)
+		r.Deadline = time.Now().Add(50 * time.Millisecond)
+		_, err := w.Serve(t.Context(), r)
+		is.Equal(result.From(err).Ran, result.NotRun)
+		is.Equal(len(w.sent), 0)
+	})
+}
