Move homes only with their cell's agreement

A data centre that was taken out kept its homes, and one that came back got none. Homes now follow the statuses by a pure plan: the homes of a leaving cell are asked for, move when its coordinator has released the shards and agreed to that very request, and move at once when an operator states the data centre dead. A table names the configuration that asked for a home, and a coordinator with an older one does not go on from it.

A change of a cell's members keeps the previous ones in the electorate until the coordinator that both sets elected confirms it. The number of shards of a service is fixed, since another number would change every key's owner.

--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -182,7 +182,7 @@
 // plan installs the next version if anything must change. It waits while one
 // is not in force, so that at most one version is ever open.
 func (c *coordinator) plan(state *config.State, members []core.VM, now time.Time) bool {
-	if c.pending() {
+	if c.pending() || state.Version < c.table.Config {
 		return false
 	}
 	in := c.inputs(state, members, now)
@@ -196,7 +196,7 @@
 	if in.Settled && len(in.Targets) > 0 {
 		c.hint = nil // it served its one purpose
 	}
-	if Diff(c.table, next).empty() {
+	if next.Config == c.table.Config && Diff(c.table, next).empty() {
 		return false
 	}
 	c.install(next)
--- a/internal/cell/delta.go
+++ b/internal/cell/delta.go
@@ -13,6 +13,7 @@
 	Base        core.Fence // version it applies to; zero: any, it is a snapshot
 	Fence       core.Fence
 	Coordinator core.VM
+	Config      core.Version
 	Targets     []TargetEntry // new or changed
 	Gone        []core.TargetID
 	Sizes       []ShardCount // of services that are new or have another count
@@ -52,7 +53,7 @@
 
 // Diff returns the delta from base to next. A nil base gives a snapshot.
 func Diff(base, next *Table) *Delta {
-	d := &Delta{Cell: next.Cell, Fence: next.Fence, Coordinator: next.Coordinator}
+	d := &Delta{Cell: next.Cell, Fence: next.Fence, Coordinator: next.Coordinator, Config: next.Config}
 	if base == nil {
 		base = NewTable(next.Cell)
 	} else {
@@ -143,7 +144,7 @@
 		}
 		next = t.clone()
 	}
-	next.Fence, next.Coordinator = d.Fence, d.Coordinator
+	next.Fence, next.Coordinator, next.Config = d.Fence, d.Coordinator, d.Config
 	for _, e := range d.Targets {
 		next.Targets[e.Target.ID] = e
 	}
@@ -202,6 +203,7 @@
 		Cell:        t.Cell,
 		Fence:       t.Fence,
 		Coordinator: t.Coordinator,
+		Config:      t.Config,
 		Targets:     maps.Clone(t.Targets),
 		Shards:      maps.Clone(t.Shards),
 		HotKeys:     maps.Clone(t.HotKeys),
--- /dev/null
+++ b/internal/cell/proposals.go
@@ -0,0 +1,68 @@
+package cell
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+)
+
+// Proposals returns what this member owes the registry while it coordinates
+// the cell: the confirmation of a change of members under which it was
+// elected, and the agreement to give up the homes of shards that it released.
+func (n *Node) Proposals(now time.Time) []config.Change {
+	c := n.coordinator
+	if !n.Coordinating(now) || c.pending() || c.hint != nil {
+		return nil
+	}
+	var out []config.Change
+	cell := n.state.Cells[n.cell]
+	if len(cell.Previous) > 0 && c.number.Epoch == cell.Epoch {
+		out = append(out, config.ConfirmCell{Cell: n.cell, Epoch: cell.Epoch})
+	}
+	for _, service := range slices.Sorted(maps.Keys(n.state.Homes)) {
+		out = append(out, n.agreements(service)...)
+	}
+	return out
+}
+
+// agreements returns one agreement for each request whose shards are released.
+// The table in force names a configuration as new as the request, so that no
+// later coordinator assigns the shards again from an older one.
+func (n *Node) agreements(service core.Service) []config.Change {
+	bySince := map[core.Version]config.AgreeHomeMove{}
+	for s, m := range n.state.Homes[service].Moving {
+		at, _ := n.state.Home(service, s)
+		a, _, _ := n.coordinator.table.Owner(service, s)
+		if at != n.cell || a.Target != "" || n.coordinator.table.Config < m.Since {
+			continue
+		}
+		agree := bySince[m.Since]
+		agree.Cell, agree.Service, agree.Since = n.cell, service, m.Since
+		agree.Shards = append(agree.Shards, s)
+		bySince[m.Since] = agree
+	}
+	var out []config.Change
+	for _, since := range slices.SortedFunc(maps.Keys(bySince), cmp.Compare[core.Version]) {
+		agree := bySince[since]
+		slices.Sort(agree.Shards)
+		out = append(out, agree)
+	}
+	return out
+}
+
+// lastAsked returns the newest change that asked this cell for a home.
+func lastAsked(s *config.State, cell core.Cell) core.Version {
+	var newest core.Version
+	for _, h := range s.Homes {
+		for shard, m := range h.Moving {
+			if h.Cells[h.Home[shard]] == cell {
+				newest = max(newest, m.Since)
+			}
+		}
+	}
+	return newest
+}
--- a/internal/cell/shards.go
+++ b/internal/cell/shards.go
@@ -52,7 +52,8 @@
 		return true
 	}
 	c, ok := p.in.State.Home(p.svc.Name, s)
-	return ok && c == p.next.Cell
+	_, moving := p.in.State.Moving(p.svc.Name, s)
+	return ok && c == p.next.Cell && !moving
 }
 
 // keep decides whether the shard stays with its owner, is asked back, or is free.
--- a/internal/cell/table.go
+++ b/internal/cell/table.go
@@ -39,8 +39,9 @@
 // Table is one version of a cell's assignments. It is immutable.
 type Table struct {
 	Cell        core.Cell
-	Fence       core.Fence // of the coordinator's newest change; orders versions
-	Coordinator core.VM    // that wrote this version
+	Fence       core.Fence   // of the coordinator's newest change; orders versions
+	Coordinator core.VM      // that wrote this version
+	Config      core.Version // a coordinator with an older configuration must not go on from this version
 	Targets     map[core.TargetID]TargetEntry
 	Shards      map[core.Service][]Assignment
 	// HotKeys gives keys shards of their own, with numbers from the service's
--- a/internal/cell/task.go
+++ b/internal/cell/task.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	mailboxSize = 256
-	tickPeriod  = 20 * time.Millisecond
-	assignLimit = 2 * time.Second // that an operator's choice may take to be in force
+	mailboxSize   = 256
+	tickPeriod    = 20 * time.Millisecond
+	proposePeriod = 300 * time.Millisecond
+	assignLimit   = 2 * time.Second // that an operator's choice may take to be in force
 )
 
 // Message is one of the messages to a cell task.
@@ -67,6 +68,8 @@
 	coordinator task.Snapshot[core.VM]
 	tenure      task.Snapshot[Tenure]
 	changed     func(*Table)
+	propose     func(config.Change)
+	proposed    time.Time
 
 	state   *config.State
 	targets map[core.TargetID]core.Target
@@ -84,8 +87,9 @@
 }
 
 // NewTask returns the task of member self. It calls changed, from its own
-// goroutine, with each new table in force; changed must not wait.
-func NewTask(self core.VM, cell core.Cell, transport Transport, changed func(*Table)) *Task {
+// goroutine, with each new table in force, and propose with the changes that
+// this member owes the registry as coordinator; neither may wait.
+func NewTask(self core.VM, cell core.Cell, transport Transport, changed func(*Table), propose func(config.Change)) *Task {
 	return &Task{
 		self: self, cell: cell, timing: DefaultTiming(), transport: transport,
 		mailbox:     task.NewMailbox[Message]("cell", mailboxSize),
@@ -94,6 +98,7 @@
 		coordinator: task.NewSnapshot(new(core.VM)),
 		tenure:      task.NewSnapshot(new(Tenure)),
 		changed:     changed,
+		propose:     propose,
 		state:       config.NewState(),
 	}
 }
@@ -152,8 +157,9 @@
 			return ctx.Err()
 		case m := <-t.mailbox.C():
 			t.do(ctx, t.handle(ctx, m, time.Now()))
-		case <-ticker.C:
-			t.do(ctx, t.node.Tick(time.Now()))
+		case now := <-ticker.C:
+			t.do(ctx, t.node.Tick(now))
+			t.proposeDue(now)
 		}
 		t.publish(time.Now())
 	}
@@ -186,6 +192,18 @@
 	return nil
 }
 
+// proposeDue repeats what this member owes the registry until the
+// configuration shows it.
+func (t *Task) proposeDue(now time.Time) {
+	if now.Sub(t.proposed) < proposePeriod {
+		return
+	}
+	t.proposed = now
+	for _, c := range t.node.Proposals(now) {
+		t.propose(c)
+	}
+}
+
 // publish hands out what changed, and answers the choices that are in force.
 func (t *Task) publish(now time.Time) {
 	if lease := t.node.Lease(); lease != t.Lease() {
--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -146,6 +146,7 @@
 		return result.New(result.InvalidChange, "data centre without a name")
 	}
 	next.DataCentres[c.DataCentre.Name] = c.DataCentre
+	next.placeHomes()
 	return nil
 }
 
@@ -156,7 +157,10 @@
 	cell := c.Cell
 	cell.Members = slices.Sorted(slices.Values(cell.Members))
 	prev, known := next.Cells[cell.Name]
-	cell.Epoch = prev.Epoch + 1
+	cell, err := changeMembers(prev, cell, next.DataCentres[cell.DataCentre].Status)
+	if err != nil {
+		return err
+	}
 	cell.FloorPending = prev.FloorPending || !known && len(next.Workspaces) > 0
 	next.Cells[cell.Name] = cell
 	for _, vm := range c.VMs {
@@ -219,6 +223,9 @@
 	if c.Service.Keyed && c.Service.Shards == 0 {
 		return result.New(result.InvalidChange, "service %s: a keyed service needs shards", c.Service.Name)
 	}
+	if old, ok := next.Services[c.Service.Name]; ok && old.Keyed && (!c.Service.Keyed || old.Shards != c.Service.Shards) {
+		return result.New(result.InvalidChange, "service %s: the number of shards is fixed, since keys would change owners", c.Service.Name)
+	}
 	next.Services[c.Service.Name] = c.Service
 	next.placeHomes()
 	return nil
@@ -232,31 +239,3 @@
 	delete(next.Homes, c.Name)
 	return nil
 }
-
-// placeHomes gives each shard without a valid home one, in turn over the cells
-// of the data centres that take work. Shards that have a home keep it.
-func (s *State) placeHomes() {
-	var cells []core.Cell
-	for name, c := range s.Cells {
-		if s.DataCentres[c.DataCentre].Status == DataCentreIn {
-			cells = append(cells, name)
-		}
-	}
-	slices.Sort(cells)
-	if len(cells) == 0 {
-		return
-	}
-	for name, svc := range s.Services {
-		if svc.Keyed && len(s.Homes[name].Home) != int(svc.Shards) {
-			s.Homes[name] = spreadHomes(cells, svc.Shards)
-		}
-	}
-}
-
-func spreadHomes(cells []core.Cell, shards uint32) ShardHomes {
-	h := ShardHomes{Cells: cells, Home: make([]uint16, shards)}
-	for i := range h.Home {
-		h.Home[i] = uint16(i % len(cells))
-	}
-	return h
-}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -88,8 +88,9 @@
 
 // ShardHomes says which cell is home to each shard of a service.
 type ShardHomes struct {
-	Cells []core.Cell
-	Home  []uint16 // index into Cells for each shard
+	Cells  []core.Cell
+	Home   []uint16                // index into Cells for each shard
+	Moving map[core.Shard]HomeMove // homes that their cells are asked to give up
 }
 
 // State is one accepted configuration. It is immutable: Apply returns another.
--- a/internal/configjson/configjson.go
+++ b/internal/configjson/configjson.go
@@ -26,6 +26,8 @@
 	config.DeleteCallerKey{},
 	config.PutService{},
 	config.DeleteService{},
+	config.AgreeHomeMove{},
+	config.ConfirmCell{},
 )
 
 func byName(values ...config.Change) map[string]reflect.Type {
--- a/internal/daemon/cells.go
+++ b/internal/daemon/cells.go
@@ -1,10 +1,13 @@
 package daemon
 
 import (
+	"context"
+	"crypto/rand"
 	"net/http"
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/cell"
+	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/dispatch"
 	"github.com/comfreynotch/comfreynotch/internal/grant"
@@ -13,9 +16,21 @@
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 )
 
+const proposeTimeout = 2 * time.Second
+
 // newCell returns the task of this daemon's part in its cell.
 func (d *Daemon) newCell(s *settings.Settings) *cell.Task {
-	return cell.NewTask(core.VM(s.VM), core.Cell(s.Cell), d.cellTransport(), d.tableChanged)
+	return cell.NewTask(core.VM(s.VM), core.Cell(s.Cell), d.cellTransport(), d.tableChanged, d.propose)
+}
+
+// propose brings a change of this daemon's cell to the registry. One that is
+// lost is proposed again.
+func (d *Daemon) propose(c config.Change) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+		defer cancel()
+		_, _ = d.registry.Propose(ctx, config.Command{RequestID: rand.Text(), Change: c})
+	}()
 }
 
 // newGrant returns the task that grants shards to this daemon's targets.
