--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"strings"
 
-	"github.com/go-kit/log/level"
-
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/configjson"
 	"github.com/comfreynotch/comfreynotch/internal/configsync"
@@ -102,9 +100,7 @@
 		Self: c.self.VM, Members: firstMembers(d.settings, c.self), Bootstrap: firstChange(d.settings.Bootstrap),
 		Files: files, Codec: configjson.Codec{}, Transport: c.client, Seed: seed.Sum64(),
 		Changed: c.copy.Offer,
-		Report: func(event, text string) {
-			_ = level.Info(d.logger).Log("msg", "registry", "event", event, "text", text)
-		},
+		Report:  d.registryReporter(),
 	})
 }
 
@@ -155,11 +151,11 @@
 	if c.replica == nil {
 		return c.remote.Propose(ctx, command)
 	}
-	s, err := c.replica.Propose(ctx, command)
+	version, err := c.replica.ProposeVersion(ctx, command)
 	if err != nil {
 		return nil, err
 	}
-	return c.copy.Reached(ctx, s.Version)
+	return c.copy.Reached(ctx, version)
 }
 
 // AddVoter makes a VM a voter of the registry once it has caught up.
--- a/internal/operators/choices.go
+++ b/internal/operators/choices.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/comfreynotch/comfreynotch/internal/cell"
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
@@ -58,7 +56,7 @@
 func (c Choices) keyPin(s core.Service, key string, to core.TargetID) cell.Pin {
 	return cell.Pin{
 		Service: s, Shard: routing.Shard(key, c.Registry.Current().Services[s].Shards),
-		Key: true, Hash: xxhash.Sum64String(key), Target: to,
+		Key: true, Hash: routing.Hash(key), Target: to,
 	}
 }
 
@@ -109,7 +107,7 @@
 	table, shards := c.Here.Table(), c.Registry.Current().Services[s].Shards
 	keys := make([]HotKey, 0, len(found))
 	for _, k := range found {
-		shard, own := table.HotKey(s, xxhash.Sum64String(k.Key))
+		shard, own := table.HotKey(s, routing.Hash(k.Key))
 		if !own {
 			shard = routing.Shard(k.Key, shards)
 		}
@@ -118,3 +116,23 @@
 	}
 	return keys, nil
 }
+
+// TableOf implements Tables: it asks one member of another cell after the other.
+func (c Choices) TableOf(ctx context.Context, of core.Cell) (*cell.Table, error) {
+	state := c.Registry.Current()
+	var last error = result.New(result.CellUnreachable, "cell %s has no members", of)
+	for _, vm := range state.Cells[of].Members {
+		answer, err := c.Members.Call(ctx, state.VMs[vm], c.Self, cell.Fetch{})
+		if err != nil {
+			last = result.Wrap(result.CellUnreachable, err, "VM %s of cell %s", vm, of)
+			continue
+		}
+		if fetched, ok := answer.(cell.FetchAnswer); ok && fetched.Table != nil {
+			if table, whole := cell.NewTable(of).Apply(fetched.Table); whole {
+				return table, nil
+			}
+		}
+		last = result.New(result.CellUnreachable, "VM %s of cell %s holds no table", vm, of)
+	}
+	return nil, last
+}
