--- a/internal/operators/explain.go
+++ b/internal/operators/explain.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/comfreynotch/comfreynotch/api/operatorspb"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/routing"
@@ -55,7 +53,7 @@
 		x.Reasons = append(x.Reasons, fmt.Sprintf("the owner is not known here, since no member of cell %s answers: %s", home, err))
 		return
 	}
-	if own, ok := table.HotKey(service, xxhash.Sum64String(x.GetKey())); ok {
+	if own, ok := table.HotKey(service, routing.Hash(x.GetKey())); ok {
 		x.Reasons = append(x.Reasons, fmt.Sprintf("the key has shard %d for itself, because an operator pinned it", own))
 		shard = own
 	}
