--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/result"
@@ -14,7 +15,8 @@
 	RequestID string       // resends carry the same id and get the first answer
 	Expected  core.Version // version the operator saw; 0: any
 	Change    Change
-	Digest    Digest // of Change, the same on every replica; it tells a resend from another change
+	At        time.Time // when the proposer took it; zero: not known
+	Digest    Digest    // of Change, the same on every replica; it tells a resend from another change
 }
 
 // Change is one of the Put and Delete types of this package.
@@ -100,14 +102,31 @@
 		return 0, result.New(result.VersionConflict,
 			"version %d is in force, the change expects %d", next.Version, c.Expected)
 	}
+	before := next.Services
+	if _, ok := c.Change.(PutService); ok {
+		before = maps.Clone(before)
+	}
 	if err := c.Change.apply(next); err != nil {
 		return 0, fmt.Errorf("apply %T: %w", c.Change, err)
 	}
+	if put, ok := c.Change.(PutService); ok {
+		next.stampCreated(put.Service.Name, before, c.At)
+	}
 	next.Version++
 	next.Answered.add(c.RequestID, Answer{Version: next.Version, Digest: c.Digest})
 	return next.Version, nil
 }
 
+// stampCreated sets when a service was first accepted; a replaced one keeps it.
+func (s *State) stampCreated(name core.Service, before map[core.Service]Service, at time.Time) {
+	svc := s.Services[name]
+	svc.Created = at
+	if old, ok := before[name]; ok {
+		svc.Created = old.Created
+	}
+	s.Services[name] = svc
+}
+
 func (s *State) clone() *State {
 	return &State{
 		Version:     s.Version,
@@ -146,6 +165,7 @@
 		return result.New(result.InvalidChange, "data centre without a name")
 	}
 	next.DataCentres[c.DataCentre.Name] = c.DataCentre
+	next.placeHomes()
 	return nil
 }
 
@@ -156,7 +176,10 @@
 	cell := c.Cell
 	cell.Members = slices.Sorted(slices.Values(cell.Members))
 	prev, known := next.Cells[cell.Name]
-	cell.Epoch = prev.Epoch + 1
+	cell, err := changeMembers(prev, cell, next.DataCentres[cell.DataCentre].Status)
+	if err != nil {
+		return err
+	}
 	cell.FloorPending = prev.FloorPending || !known && len(next.Workspaces) > 0
 	next.Cells[cell.Name] = cell
 	for _, vm := range c.VMs {
@@ -219,6 +242,9 @@
 	if c.Service.Keyed && c.Service.Shards == 0 {
 		return result.New(result.InvalidChange, "service %s: a keyed service needs shards", c.Service.Name)
 	}
+	if old, ok := next.Services[c.Service.Name]; ok && old.Keyed && (!c.Service.Keyed || old.Shards != c.Service.Shards) {
+		return result.New(result.InvalidChange, "service %s: the number of shards is fixed, since keys would change owners", c.Service.Name)
+	}
 	next.Services[c.Service.Name] = c.Service
 	next.placeHomes()
 	return nil
@@ -232,31 +258,3 @@
 	delete(next.Homes, c.Name)
 	return nil
 }
-
-// placeHomes gives each shard without a valid home one, in turn over the cells
-// of the data centres that take work. Shards that have a home keep it.
-func (s *State) placeHomes() {
-	var cells []core.Cell
-	for name, c := range s.Cells {
-		if s.DataCentres[c.DataCentre].Status == DataCentreIn {
-			cells = append(cells, name)
-		}
-	}
-	slices.Sort(cells)
-	if len(cells) == 0 {
-		return
-	}
-	for name, svc := range s.Services {
-		if svc.Keyed && len(s.Homes[name].Home) != int(svc.Shards) {
-			s.Homes[name] = spreadHomes(cells, svc.Shards)
-		}
-	}
-}
-
-func spreadHomes(cells []core.Cell, shards uint32) ShardHomes {
-	h := ShardHomes{Cells: cells, Home: make([]uint16, shards)}
-	for i := range h.Home {
-		h.Home[i] = uint16(i % len(cells))
-	}
-	return h
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,11 +24,9 @@
 	"github.com/comfreynotch/comfreynotch/internal/rebalance"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
-	"github.com/comfreynotch/comfreynotch/internal/spread"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 	"github.com/comfreynotch/comfreynotch/internal/telemetry"
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
-	"github.com/comfreynotch/comfreynotch/internal/upstream"
 )
 
 // Daemon is one process of the system, assembled but not running.
@@ -79,7 +77,7 @@
 	}
 	d.recorder = d.newRecorder(s)
 	d.dispatch = dispatch.NewTask(self)
-	d.serving = serving{upstream: upstream.New(self), spread: spread.NewTask()}
+	d.serving = newServing(self)
 	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
 	d.grant = d.newGrant(s)
@@ -105,6 +103,7 @@
 	d.quota.ConfigChanged(s)
 	d.rebalance.ConfigChanged(s)
 	d.dispatch.ConfigChanged(s)
+	d.serving.claims.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
 	d.grant.ConfigChanged(s)
 }
