Answer raft messages in the call that brought them

A call now returns the messages that it causes, once they may leave, and the reads that nobody waits for use the next heartbeat.

--- a/internal/innerproto/registry.go
+++ b/internal/innerproto/registry.go
@@ -22,7 +22,7 @@
 
 // Replica is the registry's replica on this daemon.
 type Replica interface {
-	Deliver(from raft.Member, messages []raft.Message)
+	Deliver(ctx context.Context, from raft.Member, messages []raft.Message) []raft.Message
 	ProposeEncoded(ctx context.Context, command []byte) (core.Version, error)
 	ProposeHere(ctx context.Context, command []byte) (core.Version, error)
 	AddVoter(ctx context.Context, vm core.VM, address string) error
@@ -48,8 +48,8 @@
 	return innerpb.NewRegistryServer(registryServer{self, replica, w})
 }
 
-// Deliver hands raft messages over and does not wait for what they cause.
-func (s registryServer) Deliver(_ context.Context, b *innerpb.RaftBatch) (*innerpb.RaftDelivered, error) {
+// Deliver hands raft messages over and returns what they cause at once.
+func (s registryServer) Deliver(ctx context.Context, b *innerpb.RaftBatch) (*innerpb.RaftDelivered, error) {
 	if s.replica == nil {
 		return nil, s.noReplica()
 	}
@@ -58,8 +58,11 @@
 	for i, m := range b.GetMessages() {
 		messages[i] = raftFromWire(m, from.VM, s.self)
 	}
-	s.replica.Deliver(from, messages)
-	return &innerpb.RaftDelivered{}, nil
+	d := &innerpb.RaftDelivered{}
+	for _, m := range s.replica.Deliver(ctx, from, messages) {
+		d.Messages = append(d.Messages, raftToWire(m))
+	}
+	return d, nil
 }
 
 func (s registryServer) noReplica() error {
--- a/internal/innerproto/registry_client.go
+++ b/internal/innerproto/registry_client.go
@@ -34,13 +34,20 @@
 }
 
 // Send implements registry.Transport.
-func (c *RegistryClient) Send(ctx context.Context, to raft.Member, messages []raft.Message) error {
+func (c *RegistryClient) Send(ctx context.Context, to raft.Member, messages []raft.Message) ([]raft.Message, error) {
 	b := &innerpb.RaftBatch{From: string(c.self.VM), FromAddress: c.self.Address}
 	for _, m := range messages {
 		b.Messages = append(b.Messages, raftToWire(m))
 	}
-	_, err := c.to(to.Address).Deliver(ctx, b)
-	return err
+	d, err := c.to(to.Address).Deliver(ctx, b)
+	if err != nil {
+		return nil, err
+	}
+	answers := make([]raft.Message, len(d.GetMessages()))
+	for i, m := range d.GetMessages() {
+		answers[i] = raftFromWire(m, to.VM, c.self.VM)
+	}
+	return answers, nil
 }
 
 // Propose implements registry.Transport.
--- a/internal/innerproto/registry_codec.go
+++ b/internal/innerproto/registry_codec.go
@@ -10,6 +10,7 @@
 	w := &innerpb.RaftMessage{
 		Type: uint32(m.Type), Term: uint64(m.Term), LogIndex: uint64(m.LogIndex), LogTerm: uint64(m.LogTerm),
 		Commit: uint64(m.Commit), Reject: m.Reject, Hint: uint64(m.Hint), Transfer: m.Transfer, Sequence: m.Sequence,
+		Lazy: m.Lazy,
 	}
 	for _, e := range m.Entries {
 		w.Entries = append(w.Entries, &innerpb.RaftEntry{
@@ -30,6 +31,7 @@
 		Type: raft.MessageType(w.GetType()), From: from, To: to, Term: raft.Term(w.GetTerm()),
 		LogIndex: raft.Index(w.GetLogIndex()), LogTerm: raft.Term(w.GetLogTerm()), Commit: raft.Index(w.GetCommit()),
 		Reject: w.GetReject(), Hint: raft.Index(w.GetHint()), Transfer: w.GetTransfer(), Sequence: w.GetSequence(),
+		Lazy: w.GetLazy(),
 	}
 	for _, e := range w.GetEntries() {
 		m.Entries = append(m.Entries, raft.Entry{
--- a/internal/raft/failure_test.go
+++ b/internal/raft/failure_test.go
@@ -147,10 +147,10 @@
 	owe()
 	c.Step(Message{Type: AppendReply, From: "b", To: "a", Term: 4, LogIndex: 2})
 	is.Equal(c.Status().Commit, Index(0))
-	is.Equal(c.Read(1), ErrNotReady)
+	is.Equal(c.Read(1, false), ErrNotReady)
 	c.Step(Message{Type: AppendReply, From: "b", To: "a", Term: 4, LogIndex: 3})
 	is.Equal(c.Status().Commit, Index(3))
-	is.NoErr(c.Read(2))
+	is.NoErr(c.Read(2, false))
 }
 
 // TestPausedLeaderServesNoRead: a leader that was paused past its term answers
--- a/internal/raft/read.go
+++ b/internal/raft/read.go
@@ -13,26 +13,27 @@
 }
 
 // Read asks for a ReadState with the given id. It may never come; the asker
-// asks again. ids must not repeat over restarts of the replica.
-func (c *Core) Read(id uint64) error {
+// asks again. ids must not repeat over restarts of the replica. A lazy read
+// waits for the next heartbeat instead of causing one.
+func (c *Core) Read(id uint64, lazy bool) error {
 	switch {
 	case c.role == Leader:
-		return c.addRead(c.config.Self, id)
+		return c.addRead(c.config.Self, id, lazy)
 	case c.leader != "":
-		c.send(Message{Type: Read, To: c.leader, Sequence: id})
+		c.send(Message{Type: Read, To: c.leader, Sequence: id, Lazy: lazy})
 		return nil
 	default:
 		return ErrNotLeader
 	}
 }
 
-func (c *Core) addRead(from core.VM, id uint64) error {
+func (c *Core) addRead(from core.VM, id uint64, lazy bool) error {
 	if !c.log.matches(c.commit, c.term) {
 		return ErrNotReady // older leaders may have committed more than is known here
 	}
 	c.readSequence++
 	c.reads = append(c.reads, pendingRead{from, id, c.commit, c.readSequence})
-	c.heartbeatDue = true
+	c.heartbeatDue = c.heartbeatDue || !lazy
 	c.releaseReads()
 	return nil
 }
--- a/internal/raft/soup_test.go
+++ b/internal/raft/soup_test.go
@@ -188,7 +188,7 @@
 	s.nextID++
 	s.reads[s.nextID] = Index(len(s.agreed))
 	if r := s.replicas[vm]; r.up {
-		_ = r.core.Read(s.nextID)
+		_ = r.core.Read(s.nextID, s.nextID%3 == 0)
 		s.run(vm)
 	}
 	return s.nextID
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -25,7 +25,7 @@
 		}
 	case Read:
 		if c.role == Leader {
-			_ = c.addRead(m.From, m.Sequence) // the asker asks again
+			_ = c.addRead(m.From, m.Sequence, m.Lazy) // the asker asks again
 		}
 	case ReadReply:
 		c.out.Reads = append(c.out.Reads, ReadState{ID: m.Sequence, Index: m.LogIndex})
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -134,6 +134,7 @@
 	Hint     Index  // AppendReply with Reject: where to try next
 	Transfer bool   // votes: the leader asked for this election
 	Sequence uint64 // heartbeats: round of reads; reads: the asker's id
+	Lazy     bool   // Read: it may wait for the next heartbeat
 	Snapshot *Snapshot
 }
 
--- a/internal/registry/task.go
+++ b/internal/registry/task.go
@@ -26,14 +26,16 @@
 	heartbeatTicks = 3
 	refreshTicks   = 10 // between proofs that this replica is up to date
 	maxEntries     = 512
+	deliverTimeout = 400 * time.Millisecond
 
 	snapshotEvery = 8192 // entries, by default
 )
 
 // Transport carries messages and questions to other members.
 type Transport interface {
-	// Send delivers raft messages in order, or loses them.
-	Send(ctx context.Context, to raft.Member, messages []raft.Message) error
+	// Send delivers raft messages in order, or loses them, and returns what the
+	// other member answers at once.
+	Send(ctx context.Context, to raft.Member, messages []raft.Message) ([]raft.Message, error)
 	// Propose asks the leader at a member for one command.
 	Propose(ctx context.Context, to raft.Member, command []byte) (core.Version, error)
 	// ChangeMember asks the leader at a member for one change.
@@ -109,10 +111,16 @@
 // Current returns the state that State publishes.
 func (t *Task) Current() *config.State { return t.state.Load() }
 
-// Deliver hands over messages from another member. What does not fit into the
-// mailbox is lost, as on the network.
-func (t *Task) Deliver(from raft.Member, messages []raft.Message) {
-	_ = t.mailbox.Post(inbound{from, messages})
+// Deliver hands over messages from another member and returns the messages to
+// it that they cause at once, which saves a call back. What does not fit into
+// the mailbox is lost, as on the network.
+func (t *Task) Deliver(ctx context.Context, from raft.Member, messages []raft.Message) []raft.Message {
+	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
+	defer cancel()
+	answers, _ := task.Ask(ctx, t.mailbox, func(r task.Reply[[]raft.Message]) message {
+		return inbound{from, messages, r}
+	})
+	return answers
 }
 
 // Status returns what this replica knows of the registry.
@@ -127,6 +135,7 @@
 	inbound struct {
 		from     raft.Member
 		messages []raft.Message
+		reply    task.Reply[[]raft.Message] // nil: the sender does not wait
 	}
 	proposal struct {
 		command []byte
--- a/internal/registry/task_peer.go
+++ b/internal/registry/task_peer.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/raft"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
@@ -22,14 +23,15 @@
 	member    raft.Member
 	transport Transport
 	mailbox   task.Mailbox[raft.Message]
+	task      task.Mailbox[message] // of the replica
 	stop      context.CancelFunc
 	done      chan struct{}
 }
 
-func startPeer(ctx context.Context, m raft.Member, t Transport) *peer {
+func startPeer(ctx context.Context, m raft.Member, t Transport, replica task.Mailbox[message]) *peer {
 	ctx, cancel := context.WithCancel(ctx)
 	p := &peer{
-		member: m, transport: t, stop: cancel, done: make(chan struct{}),
+		member: m, transport: t, task: replica, stop: cancel, done: make(chan struct{}),
 		mailbox: task.NewMailbox[raft.Message]("registry member "+string(m.VM), peerMailboxSize),
 	}
 	go func() {
@@ -72,7 +74,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_ = p.transport.Send(ctx, p.member, batch)
+	answers, err := p.transport.Send(ctx, p.member, batch)
+	if err == nil && len(answers) > 0 {
+		_ = p.task.Post(inbound{from: p.member, messages: answers})
+	}
 }
 
 // syncPeers starts a task for each new member and ends those of former ones.
@@ -89,13 +94,42 @@
 	}
 	for _, m := range members {
 		if m.VM != r.options.Self && r.peers[m.VM] == nil {
-			r.peers[m.VM] = startPeer(ctx, m, r.options.Transport)
+			r.peers[m.VM] = startPeer(ctx, m, r.options.Transport, r.mailbox)
 		}
 	}
 }
 
+// delivery is a member that waits for what its messages cause.
+type delivery struct {
+	from    core.VM
+	answers []raft.Message
+	reply   task.Reply[[]raft.Message]
+}
+
+func (r *replica) answerDeliveries() {
+	for _, d := range r.deliveries {
+		d.reply.Answer(d.answers)
+	}
+	r.deliveries = nil
+}
+
+// answered adds m to the answer of a member that waits. A snapshot goes its own
+// way, with its own time limit.
+func (r *replica) answered(m raft.Message) bool {
+	for _, d := range r.deliveries {
+		if d.from == m.To && m.Type != raft.InstallSnap {
+			d.answers = append(d.answers, m)
+			return true
+		}
+	}
+	return false
+}
+
 func (r *replica) send(messages []raft.Message) {
 	for _, m := range messages {
+		if r.answered(m) {
+			continue
+		}
 		if p := r.peers[m.To]; p != nil {
 			_ = p.mailbox.Post(m)
 		}
--- a/internal/registry/task_read.go
+++ b/internal/registry/task_read.go
@@ -39,7 +39,7 @@
 		case q.age >= readLifeTicks:
 			r.finishRead(id, q, result.New(result.NoLeader, "no majority of the registry confirmed the read"))
 		case !q.ready && (q.age%readTicks == 0 || r.confirmedAt.IsZero()):
-			_ = r.core.Read(id)
+			_ = r.core.Read(id, q.lazy())
 		}
 	}
 	for _, w := range r.waiters {
@@ -56,10 +56,13 @@
 func (r *replica) ask(reply task.Reply[answer]) uint64 {
 	r.readID++
 	r.reads[r.readID] = &read{asked: time.Now(), reply: reply}
-	_ = r.core.Read(r.readID)
+	_ = r.core.Read(r.readID, r.reads[r.readID].lazy())
 	return r.readID
 }
 
+// lazy reports whether the read may wait for a heartbeat: nobody waits for it.
+func (q *read) lazy() bool { return q.reply == nil }
+
 func (r *replica) finishRead(id uint64, q *read, err error) {
 	delete(r.reads, id)
 	if id == r.refresh {
--- a/internal/registry/task_replica.go
+++ b/internal/registry/task_replica.go
@@ -26,17 +26,19 @@
 
 // replica is the state of one run of the task. A run starts from the disk.
 type replica struct {
-	options Options
-	state   task.Snapshot[config.State]
-	store   *storage.Store
-	core    *raft.Core
-	machine machine
-	pending map[raft.Index]pending
-	reads   map[uint64]*read
-	readID  uint64
-	waiters []*reachWaiter
-	peers   map[core.VM]*peer
-	contact raft.Member // newest sender: one that joins must answer before it knows the members
+	options    Options
+	state      task.Snapshot[config.State]
+	mailbox    task.Mailbox[message]
+	store      *storage.Store
+	core       *raft.Core
+	machine    machine
+	pending    map[raft.Index]pending
+	reads      map[uint64]*read
+	readID     uint64
+	waiters    []*reachWaiter
+	peers      map[core.VM]*peer
+	deliveries []*delivery
+	contact    raft.Member // newest sender: one that joins must answer before it knows the members
 
 	confirmedAt time.Time // the state was the newest then
 	refresh     uint64    // id of the read that proves it again; 0: none
@@ -92,7 +94,7 @@
 func (t *Task) newReplica(from *opened) (*replica, error) {
 	seed := t.options.Seed ^ uint64(time.Now().UnixNano())
 	r := &replica{
-		options: t.options, state: t.state, store: from.store,
+		options: t.options, state: t.state, mailbox: t.mailbox, store: from.store,
 		core: raft.New(raft.Config{
 			Self: t.options.Self, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 			MaxEntries: maxEntries, Seed: seed,
@@ -121,6 +123,9 @@
 	switch m := m.(type) {
 	case inbound:
 		r.contact = m.from
+		if m.reply != nil {
+			r.deliveries = append(r.deliveries, &delivery{from: m.from.VM, reply: m.reply})
+		}
 		for _, raftMessage := range m.messages {
 			r.core.Step(raftMessage)
 		}
@@ -169,6 +174,7 @@
 		r.bootstrap()
 		a := r.core.Take()
 		if a.Empty() {
+			r.answerDeliveries()
 			r.reportChanges()
 			return nil
 		}
@@ -304,7 +310,7 @@
 	defer cancel()
 	for _, m := range a.Messages {
 		if to, ok := r.core.Members().Find(m.To); ok && m.Type == raft.TimeoutNow {
-			_ = r.options.Transport.Send(ctx, to, []raft.Message{m})
+			_, _ = r.options.Transport.Send(ctx, to, []raft.Message{m})
 		}
 	}
 }
--- a/internal/registry/task_test.go
+++ b/internal/registry/task_test.go
@@ -153,12 +153,15 @@
 	return l.net.loseAnswers
 }
 
-func (l link) Send(_ context.Context, to raft.Member, messages []raft.Message) error {
+func (l link) Send(ctx context.Context, to raft.Member, messages []raft.Message) ([]raft.Message, error) {
 	if t := l.peer(to); t != nil {
 		time.Sleep(time.Millisecond)
-		t.Deliver(raft.Member{VM: l.self, Address: "x"}, messages)
+		answers := t.Deliver(ctx, raft.Member{VM: l.self, Address: "x"}, messages)
+		if l.peer(to) != nil { // the way back may be cut meanwhile
+			return answers, nil
+		}
 	}
-	return nil
+	return nil, nil
 }
 
 func (l link) Propose(ctx context.Context, to raft.Member, command []byte) (core.Version, error) {
