Measure the time and the bytes of changes; choose voters over data centres

Cause: what a change costs each daemon and the registry's leader was unknown, and a cluster made one voter of each data centre whatever their number.

Change: slopes changes counts times and bytes over daemons and voters; a cluster takes three voters or as many as its deployment says.

--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"path/filepath"
+	"slices"
 
 	"github.com/go-kit/log"
 
@@ -101,9 +102,32 @@
 	return r, nil
 }
 
-// bindVMs gives each VM its relays and settings. The first VM of each data
-// centre holds the registry.
+const defaultVoters = 3
+
+// voters returns the names of the VMs that hold the registry: the first VM of
+// each data centre, then the second of each, and so on.
+func (c *Cluster) voters() []string {
+	want := c.Deployment.Voters
+	if want == 0 {
+		want = defaultVoters
+	}
+	var names []string
+	for i, found := 0, true; found && len(names) < want; i++ {
+		found = false
+		for _, dc := range c.Deployment.DataCentres {
+			if i < dc.VMs && len(names) < want {
+				names, found = append(names, vmName(dc.Name, i)), true
+			}
+		}
+	}
+	return names
+}
+
+func vmName(dataCentre string, i int) string { return fmt.Sprintf("%s-%d", dataCentre, i+1) }
+
+// bindVMs gives each VM its relays and settings.
 func (c *Cluster) bindVMs(o Options) error {
+	voters := c.voters()
 	var first settings.Bootstrap
 	for _, dc := range c.Deployment.DataCentres {
 		cell := settings.BootstrapCell{Name: dc.Name, DataCentre: dc.Name}
@@ -112,11 +136,15 @@
 			if err != nil {
 				return err
 			}
-			vm := &VM{Name: fmt.Sprintf("%s-%d", dc.Name, i+1), DataCentre: dc.Name, Voter: i == 0, Inner: inner, cluster: c, logger: o.Logger}
+			name := vmName(dc.Name, i)
+			vm := &VM{Name: name, DataCentre: dc.Name, Voter: slices.Contains(voters, name), Inner: inner, cluster: c, logger: o.Logger}
 			c.VMs = append(c.VMs, vm)
-			cell.Members = append(cell.Members, settings.Peer{VM: vm.Name, Inner: inner.Address()})
+			peer := settings.Peer{VM: name, Inner: inner.Address()}
+			cell.Members = append(cell.Members, peer)
+			if vm.Voter {
+				first.Voters = append(first.Voters, peer)
+			}
 		}
-		first.Voters = append(first.Voters, cell.Members[0])
 		first.Cells = append(first.Cells, cell)
 	}
 	var seeds []string
--- a/bench/cluster/deployment.go
+++ b/bench/cluster/deployment.go
@@ -12,6 +12,7 @@
 	DataCentres []DataCentre
 	Services    []Service
 	Workspaces  []Workspace
+	Voters      int // of the registry; 0: 3
 }
 
 // DataCentre is one data centre with its entry VMs.
--- a/bench/cmd/slopes/main.go
+++ b/bench/cmd/slopes/main.go
@@ -36,6 +36,7 @@
 	}{
 		{"placement", "imbalance and churn of ways to place shards", slopes.Placement},
 		{"configuration", "state and time of a change", slopes.Configuration},
+		{"changes", "time and bytes of a change of the configuration", slopes.Changes},
 		{"idle", "bytes, messages, processor time and memory without callers", slopes.Idle},
 	} {
 		root.Subcommands = append(root.Subcommands, &ffcli.Command{
--- a/bench/slopes/idle.go
+++ b/bench/slopes/idle.go
@@ -27,7 +27,7 @@
 // Idle measures what the system spends on control while no caller sends: over
 // the members of a cell, its targets, its shards, and the number of cells.
 func Idle(ctx context.Context, w io.Writer) error {
-	t := newTable(w, "cells", "members each", "targets", "shards", "voters", "inner bytes/s each daemon", "inner messages/s each daemon",
+	t := newTable(w, "cells", "members each", "targets", "shards", "inner bytes/s each daemon", "inner messages/s each daemon",
 		"most of one daemon bytes/s", "announcement bytes/s each target", "core each daemon", "heap each daemon KB")
 	for _, size := range []idleSize{
 		{1, 3, 0, 64},
@@ -92,7 +92,7 @@
 	if s.targets > 0 {
 		perTarget = float64(last.announced-first.announced) / seconds / float64(s.targets)
 	}
-	row(t, s.cells, s.members, s.targets, s.shards, min(s.cells, len(c.VMs)),
+	row(t, s.cells, s.members, s.targets, s.shards,
 		float64(last.inner-first.inner)/seconds/daemons, float64(last.chunks-first.chunks)/seconds/daemons,
 		float64(busiest(first.each, last.each))/seconds, perTarget,
 		(last.cpu-first.cpu).Seconds()/seconds/daemons, float64(heapBytes()-before)/1024/daemons)
