--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -82,14 +82,16 @@
 	MaxHeldBytes     int64 // answers up to this size are held until whole
 	QueuePerSlot     int   // waiting requests for each slot
 	IdempotencyTTL   time.Duration
-	DispatchGroup    int // targets of one cell that one member dispatches, at most
-	ConnectionsLimit int // for each target, over the cell; 0: as announced
+	Created          time.Time // when the service was first accepted; zero: not known
+	DispatchGroup    int       // targets of one cell that one member dispatches, at most
+	ConnectionsLimit int       // for each target, over the cell; 0: as announced
 }
 
 // ShardHomes says which cell is home to each shard of a service.
 type ShardHomes struct {
-	Cells []core.Cell
-	Home  []uint16 // index into Cells for each shard
+	Cells  []core.Cell
+	Home   []uint16                // index into Cells for each shard
+	Moving map[core.Shard]HomeMove // homes that their cells are asked to give up
 }
 
 // State is one accepted configuration. It is immutable: Apply returns another.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,11 +24,9 @@
 	"github.com/comfreynotch/comfreynotch/internal/rebalance"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
-	"github.com/comfreynotch/comfreynotch/internal/spread"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 	"github.com/comfreynotch/comfreynotch/internal/telemetry"
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
-	"github.com/comfreynotch/comfreynotch/internal/upstream"
 )
 
 // Daemon is one process of the system, assembled but not running.
@@ -49,6 +47,7 @@
 	hotkeys    *hotkeys.Task
 	rebalance  *rebalance.Task
 	policy     operators.Policy
+	secured    secured
 	serving    serving
 	metrics    *telemetry.Metrics
 	pipeline   *serve.Server
@@ -72,9 +71,13 @@
 	}
 	self := core.VM(s.VM)
 	d := &Daemon{settings: s, logger: logger, listeners: bound, policy: policy, metrics: metrics}
+	if err := d.secure(s, policy); err != nil {
+		bound.close()
+		return nil, err
+	}
 	d.recorder = d.newRecorder(s)
 	d.dispatch = dispatch.NewTask(self)
-	d.serving = serving{upstream: upstream.New(self), spread: spread.NewTask()}
+	d.serving = newServing(self)
 	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
 	d.grant = d.newGrant(s)
@@ -100,6 +103,7 @@
 	d.quota.ConfigChanged(s)
 	d.rebalance.ConfigChanged(s)
 	d.dispatch.ConfigChanged(s)
+	d.serving.claims.ConfigChanged(s)
 	_ = d.cell.Post(cell.ConfigChanged{State: s})
 	d.grant.ConfigChanged(s)
 }
@@ -119,7 +123,7 @@
 	d.root.Add(d.cell)
 	d.root.Add(d.grant)
 	d.root.Add(d.membership)
-	for _, s := range d.registry.tasks() {
+	for _, s := range append(d.registry.tasks(), d.secured.tasks...) {
 		d.root.Add(s)
 	}
 	for _, s := range d.servers() {
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -1,7 +1,10 @@
 package daemon
 
 import (
+	"net/http"
+
 	"github.com/comfreynotch/comfreynotch/internal/cell"
+	"github.com/comfreynotch/comfreynotch/internal/claims"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/serve"
@@ -13,6 +16,15 @@
 type serving struct {
 	upstream *upstream.Client
 	spread   *spread.Task
+	claims   *claims.Task
+}
+
+func newServing(self core.VM) serving {
+	return serving{
+		upstream: upstream.New(self),
+		spread:   spread.NewTask(),
+		claims:   claims.NewTask(self, innerproto.NewClaimsClient(http.DefaultClient)),
+	}
 }
 
 // tableChanged hands a new table of the cell to the tasks of a request's way.
@@ -29,8 +41,9 @@
 		Ownership: ownership{d.cell, d.grant},
 		Slots:     d.dispatch,
 		Sender:    d.serving.upstream,
-		Forwarder: innerproto.NewForwarder(),
+		Forwarder: innerproto.NewForwarder(d.secured.dial),
 		Spread:    d.serving.spread,
+		Claims:    d.serving.claims,
 		Loads:     d.rebalance,
 	}
 }
@@ -40,4 +53,5 @@
 	d.root.Add(d.dispatch)
 	d.root.Add(d.serving.upstream)
 	d.root.Add(d.serving.spread)
+	d.root.Add(d.serving.claims)
 }
