Drain targets by the configuration

Change: the configuration holds the drained targets; the coordinator treats them as leaving, whatever they announce, so that shards move and no new work comes.

--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -209,6 +209,7 @@
 		Targets: c.targets(now), Lost: map[core.VM]bool{}, Settled: true, Placed: true,
 		Proved: newProofs(),
 	}
+	drain(in.Targets, state)
 	if c.hint != nil {
 		ended := c.elected.Add(c.timing.MemberTTL + c.timing.Margin)
 		in.Placed = !now.Before(ended)
@@ -230,6 +231,16 @@
 	return in
 }
 
+// drain marks the targets that operators drain, whatever they announce.
+func drain(targets map[core.TargetID]core.Target, state *config.State) {
+	for id := range state.Drained {
+		if t, ok := targets[id]; ok {
+			t.Leaving = true
+			targets[id] = t
+		}
+	}
+}
+
 // longestDeadline bounds the requests that may still run on targets that do
 // not check fences.
 func longestDeadline(state *config.State) time.Duration {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -86,6 +86,8 @@
 	is.NoErr(err)
 	is.Equal(len(strings.TrimSpace(string(stored))), 26)
 
+	c.ok(t, "target", "drain", "t1")
+	c.ok(t, "target", "undrain", "t1")
 	c.ok(t, "key", "withdraw", "lab-1")
 	c.ok(t, "data-centre", "take-out", "local")
 	is.True(strings.Contains(c.ok(t, "status"), "WRONG: data centre local is out"))
--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -118,6 +118,7 @@
 		CallerKeys:  maps.Clone(s.CallerKeys),
 		Services:    maps.Clone(s.Services),
 		Homes:       maps.Clone(s.Homes),
+		Drained:     maps.Clone(s.Drained),
 		Answered:    s.Answered.clone(),
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -103,6 +103,7 @@
 	CallerKeys  map[KeyHash]CallerKey
 	Services    map[core.Service]Service
 	Homes       map[core.Service]ShardHomes
+	Drained     map[core.TargetID]bool // targets that operators drain
 	Answered    Answers
 }
 
@@ -116,6 +117,7 @@
 		CallerKeys:  map[KeyHash]CallerKey{},
 		Services:    map[core.Service]Service{},
 		Homes:       map[core.Service]ShardHomes{},
+		Drained:     map[core.TargetID]bool{},
 		Answered:    newAnswers(),
 	}
 }
--- a/internal/configjson/configjson.go
+++ b/internal/configjson/configjson.go
@@ -26,6 +26,7 @@
 	config.DeleteCallerKey{},
 	config.PutService{},
 	config.DeleteService{},
+	config.DrainTarget{},
 	config.AgreeHomeMove{},
 	config.ConfirmCell{},
 )
--- a/internal/operators/cells.go
+++ b/internal/operators/cells.go
@@ -48,15 +48,7 @@
 
 // DrainTarget stops new work for a target, or lets it have work again.
 func (s *Server) DrainTarget(ctx context.Context, r *operatorspb.DrainTargetRequest) (*operatorspb.ChangeAnswer, error) {
-	if s.parts.Drainer == nil {
-		return nil, unsupported("DrainTarget")
-	}
-	if r.GetTarget() == "" {
-		return nil, toTwirp(invalid("target", "a target's name", `""`))
-	}
-	return s.act(r.GetChange(), func() error {
-		return s.parts.Drainer.Drain(ctx, core.TargetID(r.GetTarget()), r.GetUndo())
-	})
+	return s.propose(ctx, r.GetChange(), config.DrainTarget{Target: core.TargetID(r.GetTarget()), Undo: r.GetUndo()})
 }
 
 // ListHotKeys returns the hottest keys of a service, hottest first.
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -144,6 +144,7 @@
 	vm := &operatorspb.VM{Name: "v", InnerAddress: "127.0.0.1:1"}
 	_, status := s.SetDataCentreStatus(ctx, &operatorspb.SetDataCentreStatusRequest{Name: "padana-a", Status: "away"})
 	_, hash := s.CreateCallerKey(ctx, &operatorspb.CreateCallerKeyRequest{Id: "k", Workspace: "lab", SecretSha256: []byte("short")})
+	_, drain := s.DrainTarget(ctx, &operatorspb.DrainTargetRequest{})
 	_, limit := s.GetEvents(ctx, &operatorspb.GetEventsRequest{Limit: -1})
 	for field, err := range map[string]error{
 		"service.name":               service(&operatorspb.Service{Name: "a b"}),
@@ -158,6 +159,7 @@
 		"status":                     status,
 		"secret_sha256":              hash,
 		"limit":                      limit,
+		"target":                     drain,
 	} {
 		var call *CallError
 		is.True(errors.As(FromTwirp(err), &call))
@@ -233,7 +235,7 @@
 	f := newFixture(t)
 	_, err := f.server.Assign(t.Context(), &operatorspb.AssignRequest{Service: "archivio", Target: "t1"})
 	is.Equal(codeOf(err), result.Unsupported)
-	_, err = f.server.DrainTarget(t.Context(), &operatorspb.DrainTargetRequest{Target: "t1"})
+	_, err = f.server.PinKey(t.Context(), &operatorspb.PinKeyRequest{Service: "archivio", Key: "k", Target: "t1"})
 	is.Equal(codeOf(err), result.Unsupported)
 	_, err = f.server.ListHotKeys(t.Context(), &operatorspb.ListHotKeysRequest{Service: "archivio"})
 	is.Equal(codeOf(err), result.Unsupported)
--- a/internal/operators/server.go
+++ b/internal/operators/server.go
@@ -51,11 +51,6 @@
 	Assign(ctx context.Context, s core.Service, shard core.Shard, to core.TargetID) error
 }
 
-// Drainer starts or ends the drain of a target.
-type Drainer interface {
-	Drain(ctx context.Context, t core.TargetID, undo bool) error
-}
-
 // HotKey is one key of a service that gets many requests.
 type HotKey struct {
 	Key    string
@@ -89,7 +84,6 @@
 	Cell     Cell
 	Tables   Tables
 	Assigner Assigner
-	Drainer  Drainer
 	HotKeys  HotKeys
 	Recorder Recorder
 	Peers    Peers
