--- a/internal/innerproto/innerpb/events.twirp.go
+++ b/internal/innerproto/innerpb/events.twirp.go
@@ -503,7 +503,7 @@
 }
 
 func (s *eventsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *eventsServer) ProtocGenTwirpVersion() string {
@@ -517,7 +517,7 @@
 	return baseServicePath(s.pathPrefix, "comfreynotch.inner", "Events")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 512 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x74, 0x93, 0xcf, 0x72, 0xd3, 0x30,
 	0x10, 0xc6, 0x71, 0x9d, 0xb8, 0xf1, 0xa6, 0x29, 0x45, 0x30, 0x1d, 0xf1, 0x67, 0xa8, 0x5b, 0x2e,
