Let targets with varied answers end their slow start

Cause: a ramp compared each answer with the fastest one so far. Where the work varies, most answers are three times the fastest, so targets never became warm and a service lost most of its slots.

Overload still ends the ramp: the tests of slowstart pass as they were.

--- a/bench/cmd/slopes/main.go
+++ b/bench/cmd/slopes/main.go
@@ -37,6 +37,7 @@
 		{"placement", "imbalance and churn of ways to place shards", slopes.Placement},
 		{"configuration", "state and time of a change", slopes.Configuration},
 		{"changes", "time and bytes of a change of the configuration", slopes.Changes},
+		{"choice", "choice of target under stragglers, in virtual time", slopes.Choice},
 		{"cells", "decisions of one cell", slopes.Cells},
 		{"idle", "bytes, messages, processor time and memory without callers", slopes.Idle},
 	} {
--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -7,13 +7,15 @@
 import "time"
 
 const (
-	growth      = 0.5                   // of the allowance, for each served round
-	decrease    = 0.5                   // of the allowance, after a failure
-	slowFactor  = 3                     // times the usual latency that counts as slow
-	slowFloor   = 5 * time.Millisecond  // differences below this never count
-	slowRun     = 6                     // slow answers in a row that show a cold target
-	firstPause  = 50 * time.Millisecond // after a refusal while one at a time was allowed
-	longestStop = time.Second
+	growth        = 0.5                   // of the allowance, for each served round
+	decrease      = 0.5                   // of the allowance, after a failure
+	slowFactor    = 3                     // times the usual latency that counts as slow
+	slowFloor     = 5 * time.Millisecond  // differences below this never count
+	slowRun       = 6                     // slow answers in a row that show a cold target
+	smoothing     = 8                     // answers over which a latency becomes typical
+	slowSmoothing = 32                    // the same for slow answers
+	firstPause    = 50 * time.Millisecond // after a refusal while one at a time was allowed
+	longestStop   = time.Second
 )
 
 // Kind is what one request showed of its target.
@@ -39,7 +41,7 @@
 type Window struct {
 	grown    float64       // allowance above one
 	warm     bool          // the allowance reached the slots since the last reset
-	best     time.Duration // shortest latency of the present ramp
+	typical  time.Duration // latency of the present ramp, smoothed
 	slow     int           // slow answers in a row
 	hold     int           // ends of requests to pass before another decrease
 	pause    time.Duration // length of the newest pause
@@ -87,10 +89,9 @@
 // as long as they are not slow.
 func (w *Window) served(o Outcome, slots int) bool {
 	w.pause = 0
-	if w.best == 0 || o.Latency < w.best {
-		w.best = o.Latency
-	}
-	if w.isSlow(o) {
+	slow := w.isSlow(o)
+	w.learn(o.Latency, slow)
+	if slow {
 		w.slow++
 		if w.slow < slowRun {
 			return false
@@ -106,10 +107,24 @@
 	return false
 }
 
+// learn smooths the latencies of the ramp. A slow answer counts at most as the
+// limit of slow ones and with less weight, so that overload does not become
+// typical, and one fast answer does not make all others slow for good.
+func (w *Window) learn(latency time.Duration, slow bool) {
+	if w.typical == 0 {
+		w.typical = latency
+	}
+	if slow {
+		w.typical += (slowFactor*w.typical + slowFloor - w.typical) / slowSmoothing
+		return
+	}
+	w.typical += (latency - w.typical) / smoothing
+}
+
 // isSlow compares with the target's own quantile once it is warm, and with the
-// best answer of the ramp before that.
+// typical answer of the ramp before that.
 func (w *Window) isSlow(o Outcome) bool {
-	usual := w.best
+	usual := w.typical
 	if w.warm && o.Usual > 0 {
 		usual = o.Usual
 	}
