Date an owner by its newest grant alone

Cause: in a trial explain gave the reasons of two grants of one target. Change: the newest grant gives both the time and the reason; the test of explain holds that.

--- a/internal/operators/explain.go
+++ b/internal/operators/explain.go
@@ -69,12 +69,17 @@
 
 // explainSince dates the owner by the newest grant to it in the record.
 func explainSince(x *operatorspb.Explanation, events []timeline.Event) {
+	reason := ""
 	for _, e := range events {
-		if e.Kind == timeline.ShardGranted && x.Target != "" && string(e.Target) == x.Target {
-			x.SinceMicros = e.Stamp.Micros
-			if e.Cause != "" {
-				x.Reasons = append(x.Reasons, fmt.Sprintf("it was granted at %s because of %s", e.Stamp.Time().Format("15:04:05.000"), e.Cause))
-			}
+		if e.Kind != timeline.ShardGranted || x.Target == "" || string(e.Target) != x.Target {
+			continue
 		}
+		x.SinceMicros = e.Stamp.Micros
+		if e.Cause != "" {
+			reason = fmt.Sprintf("it was granted at %s because of %s", e.Stamp.Time().Format("15:04:05.000"), e.Cause)
+		}
+	}
+	if reason != "" {
+		x.Reasons = append(x.Reasons, reason)
 	}
 }
--- a/internal/operators/operators_test.go
+++ b/internal/operators/operators_test.go
@@ -251,13 +251,13 @@
 	f.cell.table.Targets["t2"] = cell.TargetEntry{Target: core.Target{ID: "t2", Service: "archivio"}, Dispatcher: "vm-2"}
 	f.cell.table.Shards["archivio"] = make([]cell.Assignment, 8)
 	f.cell.table.Shards["archivio"][shard] = cell.Assignment{Target: "t2", Fence: fence}
-	event := func(vm core.VM, at int64, kind timeline.Kind, target core.TargetID) timeline.Event {
+	event := func(vm core.VM, at int64, kind timeline.Kind, target core.TargetID) timeline.Event { // all with one cause
 		return timeline.Event{
 			VM: vm, Stamp: timeline.Stamp{Micros: at}, Kind: kind, Service: "archivio",
 			Shards: timeline.NewShardSet(shard), Target: target, Cause: "target t1#1",
 		}
 	}
-	f.peers["vm-1"] = []timeline.Event{event("vm-1", 10, timeline.ShardGranted, "t1"), event("vm-1", 30, timeline.ShardGranted, "t2")}
+	f.peers["vm-1"] = []timeline.Event{event("vm-1", 10, timeline.ShardGranted, "t2"), event("vm-1", 30, timeline.ShardGranted, "t2")}
 	f.peers["vm-2"] = []timeline.Event{
 		event("vm-2", 20, timeline.ShardReleased, "t1"),
 		{VM: "vm-2", Kind: timeline.TargetJoined, Target: "t1", Ref: "target t1#1"},
@@ -267,6 +267,7 @@
 	is.NoErr(err)
 	is.Equal([]string{x.Target, x.Fence, x.Dispatcher, x.HomeCell}, []string{"t2", "1.2.3", "vm-2", "padana-a"})
 	is.Equal(x.SinceMicros, int64(30))
+	is.Equal(strings.Count(strings.Join(x.Reasons, "\n"), "it was granted"), 1) // the newest grant alone
 	is.Equal(len(x.History), 4)
 	is.Equal(x.History[0].Kind, string(timeline.TargetJoined)) // the cause, which the key alone does not select
 	is.Equal(x.History[2].Kind, string(timeline.ShardReleased))
