--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -103,3 +103,19 @@
 	slices.Sort(documented)
 	is.Equal(documented, served)
 }
+
+// TestLastLinesAreWritten holds that a stop loses no line that was logged
+// before it.
+func TestLastLinesAreWritten(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	task := NewLogTask(&out, "vm-1", "info", func() { t.Error("dropped") })
+	const lines = 100
+	for i := range lines {
+		is.NoErr(task.Logger().Log("msg", i))
+	}
+	stopped, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.Equal(task.Serve(stopped), context.Canceled)
+	is.Equal(strings.Count(out.String(), "\n"), lines)
+}
