Write the log anew at each start

After a failed sync the machine's cache can hold what the disk doesn't, and a replica that opened the log again took it for durable.

A start now replaces the log by one frame through an atomic rename and counts only that. The test of each damaged byte covers both; it was seen to fail when the first frame could be cut.

--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -39,16 +39,20 @@
 	if err != nil {
 		return nil, raft.Stored{}, result.Wrap(result.StorageFailed, err, "read the log")
 	}
+	if len(data) == 0 && (snap.Index > 0 || len(snap.Members) > 0) {
+		return nil, raft.Stored{}, corrupt(logName, 0, errShort) // the vote was in it
+	}
 	reader := logReader{stored: raft.Stored{Snapshot: snap}}
-	intact, err := reader.read(data)
-	if err != nil {
+	if err := reader.read(data); err != nil {
 		return nil, raft.Stored{}, err
 	}
-	log, err := files.OpenLog(logName, int64(intact))
-	if err != nil {
-		return nil, raft.Stored{}, result.Wrap(result.StorageFailed, err, "open the log")
+	s := &Store{files: files, hard: reader.stored.HardState}
+	// What was read may be in the machine's cache alone, after a failed sync: it
+	// counts once it is written anew.
+	if err := s.replaceLog(reader.stored.Entries); err != nil {
+		return nil, raft.Stored{}, err
 	}
-	return &Store{files: files, log: log, hard: reader.stored.HardState}, reader.stored, nil
+	return s, reader.stored, nil
 }
 
 // Close closes the log file. What was appended is synced already.
@@ -96,13 +100,17 @@
 	if err := s.files.Replace(snapshotName, frame); err != nil {
 		return result.Wrap(result.StorageFailed, err, "replace the snapshot")
 	}
+	_ = s.log.Close() // its name is gone with the next call
+	return s.replaceLog(entries)
+}
+
+func (s *Store) replaceLog(entries []raft.Entry) error {
 	log := appendFrame(nil, func(b []byte) []byte {
 		return appendEntries(appendHardState(b, s.hard), entries)
 	})
 	if err := s.files.Replace(logName, log); err != nil {
 		return result.Wrap(result.StorageFailed, err, "replace the log")
 	}
-	_ = s.log.Close() // its name is gone already
 	opened, err := s.files.OpenLog(logName, int64(len(log)))
 	if err != nil {
 		return result.Wrap(result.StorageFailed, err, "open the new log")
@@ -142,24 +150,25 @@
 	stale  bool // entries follow one that the snapshot contradicts
 }
 
-// read takes the whole log and returns how many of its bytes are intact.
-func (l *logReader) read(data []byte) (int, error) {
+// read takes the whole log. Its first frame came with the file, by an atomic
+// rename, and is never torn.
+func (l *logReader) read(data []byte) error {
 	rest := data
 	for len(rest) > 0 {
 		offset := len(data) - len(rest)
 		payload, after, err := nextFrame(rest)
 		if err != nil {
-			if isTornTail(rest) {
-				return offset, nil
+			if offset > 0 && isTornTail(rest) {
+				return nil
 			}
-			return 0, corrupt(logName, offset, err)
+			return corrupt(logName, offset, err)
 		}
 		if err := decodeRecords(payload, l.add); err != nil {
-			return 0, corrupt(logName, offset, err)
+			return corrupt(logName, offset, err)
 		}
 		rest = after
 	}
-	return len(data), nil
+	return nil
 }
 
 // add applies one record. An entry replaces those with the same or a higher
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -172,8 +172,25 @@
 		is.True(strings.Contains(err.Error(), "remove this voter from the registry")) // says what to do
 	}
 	d, _ := threeBatches(t)
+	_, _, err := Open(d) // the whole log is now one frame, written by a rename
+	is.NoErr(err)
+	whole = d
+	for at := range whole.file(logName).data {
+		d := newDisk()
+		d.file(logName).data = append([]byte(nil), whole.file(logName).data...)
+		d.file(logName).data[at] ^= 0x10
+		_, _, err := Open(d)
+		is.Equal(result.CodeOf(err), result.StorageCorrupt)
+	}
+	d = newDisk()
+	s, _, err := Open(d)
+	is.NoErr(err)
+	is.NoErr(s.Replace(raft.Snapshot{Index: 3, Term: 1}, nil))
+	delete(d.files, logName)
+	_, _, err = Open(d)
+	is.Equal(result.CodeOf(err), result.StorageCorrupt)
 	is.NoErr(d.Replace(snapshotName, []byte("not a frame")))
-	_, _, err := Open(d)
+	_, _, err = Open(d)
 	is.Equal(result.CodeOf(err), result.StorageCorrupt)
 }
 
