Mark tables of a cell that lost its memory; outgrow fences of targets

A second election within the wait after a loss of memory read the empty table as the truth and assigned at once. Such a table now says that it is unsettled, and whoever adopts it waits in full. A second target under one id no longer makes the first one's entry flap. An answer counts only for the placement that asked.

--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -120,9 +120,12 @@
 // and what the members still knew is a hint.
 func (c *coordinator) adopt(t *Table, warm bool) {
 	next := t.clone()
+	warm = warm && !t.Unsettled
 	if !warm {
 		c.hint = t
 		next = NewTable(t.Cell)
+		next.Config, next.Unsettled = t.Config, true
+		next.HotKeys, next.Pins = t.HotKeys, t.Pins
 	}
 	c.first = c.nextFence()
 	next.Fence, next.Coordinator = c.first, c.self
@@ -196,7 +199,7 @@
 	if in.Settled && len(in.Targets) > 0 {
 		c.hint = nil // it served its one purpose
 	}
-	if next.Config == c.table.Config && Diff(c.table, next).empty() {
+	if next.Config == c.table.Config && next.Unsettled == c.table.Unsettled && Diff(c.table, next).empty() {
 		return false
 	}
 	c.install(next)
--- a/internal/cell/delta.go
+++ b/internal/cell/delta.go
@@ -14,6 +14,7 @@
 	Fence       core.Fence
 	Coordinator core.VM
 	Config      core.Version
+	Unsettled   bool
 	Targets     []TargetEntry // new or changed
 	Gone        []core.TargetID
 	Sizes       []ShardCount // of services that are new or have another count
@@ -53,7 +54,7 @@
 
 // Diff returns the delta from base to next. A nil base gives a snapshot.
 func Diff(base, next *Table) *Delta {
-	d := &Delta{Cell: next.Cell, Fence: next.Fence, Coordinator: next.Coordinator, Config: next.Config}
+	d := &Delta{Cell: next.Cell, Fence: next.Fence, Coordinator: next.Coordinator, Config: next.Config, Unsettled: next.Unsettled}
 	if base == nil {
 		base = NewTable(next.Cell)
 	} else {
@@ -144,7 +145,7 @@
 		}
 		next = t.clone()
 	}
-	next.Fence, next.Coordinator, next.Config = d.Fence, d.Coordinator, d.Config
+	next.Fence, next.Coordinator, next.Config, next.Unsettled = d.Fence, d.Coordinator, d.Config, d.Unsettled
 	for _, e := range d.Targets {
 		next.Targets[e.Target.ID] = e
 	}
@@ -204,6 +205,7 @@
 		Fence:       t.Fence,
 		Coordinator: t.Coordinator,
 		Config:      t.Config,
+		Unsettled:   t.Unsettled,
 		Targets:     maps.Clone(t.Targets),
 		Shards:      maps.Clone(t.Shards),
 		HotKeys:     maps.Clone(t.HotKeys),
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -119,12 +119,28 @@
 	h, live := n.acceptor.Holder(now)
 	out := n.elect(n.elector.Tick(now, live && h != n.self), now)
 	out = append(out, n.follow(now)...)
+	n.outgrow()
 	if c := n.coordinator; c != nil && c.plan(n.state, n.electorate.Members, now) {
 		out = append(out, n.extend(now)...)
 	}
 	return out
 }
 
+// outgrow makes the coordinator choose a number above any that a target has
+// seen, which can be newer after the whole cell lost its memory.
+func (n *Node) outgrow() {
+	if n.coordinator == nil {
+		return
+	}
+	for _, p := range n.coordinator.peers {
+		f := p.facts.FenceSeen
+		seen := lease.Number{Epoch: f.Epoch, Ballot: f.Ballot}
+		if n.coordinator.number.Less(seen) {
+			n.elector.Observe(seen)
+		}
+	}
+}
+
 // follow begins and ends coordination with the lease.
 func (n *Node) follow(now time.Time) []Send {
 	number, held := n.elector.Held(now)
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -81,6 +81,7 @@
 func Plan(prev *Table, in Inputs) *Table {
 	next := prev.clone()
 	next.Fence, next.Coordinator = in.Fence, in.Coordinator
+	next.Unsettled = !in.Settled
 	if asked := lastAsked(in.State, next.Cell); asked > next.Config {
 		next.Config = in.State.Version
 	}
--- a/internal/cell/table.go
+++ b/internal/cell/table.go
@@ -42,6 +42,7 @@
 	Fence       core.Fence   // of the coordinator's newest change; orders versions
 	Coordinator core.VM      // that wrote this version
 	Config      core.Version // a coordinator with an older configuration must not go on from this version
+	Unsettled   bool         // memory was lost, and what was granted before may still be live
 	Targets     map[core.TargetID]TargetEntry
 	Shards      map[core.Service][]Assignment
 	// HotKeys gives keys shards of their own, with numbers from the service's
--- a/internal/grant/book.go
+++ b/internal/grant/book.go
@@ -205,7 +205,7 @@
 // Answered takes the answer to an order.
 func (b *Book) Answered(o Order, r Reply, now time.Time) {
 	t := b.tenures[o.Target.ID]
-	if t == nil || t.entry.Fence != o.Holder && !o.Probe {
+	if t == nil || t.entry.Fence != o.Holder {
 		return
 	}
 	if r.Stale && b.seen.Less(r.Fence) {
--- a/internal/grant/fuzz_test.go
+++ b/internal/grant/fuzz_test.go
@@ -72,8 +72,8 @@
 		}
 		if event != "drop" {
 			w.deliver(p)
-		} else if p.order != nil && p.reply == nil {
-			w.later(p)
+		} else {
+			w.lost(p)
 		}
 	case "pause":
 		d.paused = !d.paused
--- a/internal/grant/model_test.go
+++ b/internal/grant/model_test.go
@@ -87,18 +87,14 @@
 		put.VMs = append(put.VMs, config.VM{Name: vm})
 	}
 	put.Cell.Members = w.members
-	for i, c := range []config.Change{
+	w.state = s
+	for _, c := range []config.Change{
 		config.PutDataCentre{DataCentre: config.DataCentre{Name: "a", Status: config.DataCentreIn}},
 		put,
 		config.PutService{Service: config.Service{Name: "s", Keyed: true, Shards: shards, ChecksFence: true, DispatchGroup: 1}},
 	} {
-		next, err := s.Apply(config.Command{RequestID: fmt.Sprint(i), Change: c})
-		if err != nil {
-			panic(err)
-		}
-		s = next
+		w.apply(c)
 	}
-	w.state = s
 	for _, m := range w.members {
 		w.start(m)
 	}
@@ -108,6 +104,19 @@
 	return w
 }
 
+// apply brings a change into force at all daemons.
+func (w *world) apply(c config.Change) {
+	next, err := w.state.Apply(config.Command{RequestID: fmt.Sprint(w.state.Version), Change: c})
+	if err != nil {
+		panic(err)
+	}
+	w.state = next
+	for _, d := range w.daemons {
+		d.book.SetConfig(next)
+		w.post(d, d.node.SetConfig(next, w.now))
+	}
+}
+
 func (w *world) addTarget(i int, incarnation core.Incarnation) {
 	id := core.TargetID(fmt.Sprintf("t-%d", i))
 	w.targets[id] = &server{
@@ -203,7 +212,7 @@
 // fail ends an order whose time is over.
 func (w *world) fail(p packet) {
 	d := w.daemons[core.VM(p.from)]
-	if sent, ok := w.open[orderKey(d, *p.order)]; ok && w.now.Sub(sent) >= callTime {
+	if sent, ok := w.open[orderKey(d, *p.order)]; ok && !d.paused && w.now.Sub(sent) >= callTime {
 		delete(w.open, orderKey(d, *p.order))
 		d.book.Answered(*p.order, grant.Reply{Failed: true}, w.now)
 	}
@@ -212,15 +221,13 @@
 // deliver takes one packet to its receiver.
 func (w *world) deliver(p packet) {
 	if w.cut[[2]string{p.from, p.to}] {
-		if p.order != nil && p.reply == nil {
-			w.later(p)
-		}
+		w.lost(p)
 		return
 	}
 	if t := w.targets[core.TargetID(p.to)]; t != nil {
 		if t.frozen {
 			t.waiting = append(t.waiting, p)
-			w.later(p)
+			w.lost(p)
 			return
 		}
 		r := t.take(*p.order, w.now)
@@ -229,6 +236,7 @@
 	}
 	d := w.daemons[core.VM(p.to)]
 	if d.paused || d.crashed {
+		w.lost(p)
 		return
 	}
 	switch {
@@ -249,9 +257,16 @@
 	}
 }
 
-// later remembers that the sender of an order hears nothing.
-func (w *world) later(p packet) {
-	w.packets = append(w.packets, packet{from: p.from, to: "", session: p.session, order: p.order})
+// lost remembers that the sender of an order hears nothing.
+func (w *world) lost(p packet) {
+	if p.order == nil {
+		return
+	}
+	sender := p.from
+	if p.reply != nil {
+		sender = p.to
+	}
+	w.packets = append(w.packets, packet{from: sender, to: "", session: p.session, order: p.order})
 }
 
 // flush delivers what is on its way, and what that causes, up to a bound.
--- a/internal/grant/protocol_test.go
+++ b/internal/grant/protocol_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/comfreynotch/comfreynotch/internal/cell"
+	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 )
 
@@ -136,6 +137,76 @@
 	}
 }
 
+// TestTargetsKnowNewerFences holds that a cell which lost its memory and whose
+// clock went back still outgrows the fences that its targets have seen.
+func TestTargetsKnowNewerFences(t *testing.T) {
+	is := is.New(t)
+	w := settled(t, 3, 3)
+	for _, s := range w.targets {
+		s.holder.Ballot += 1 << 20
+		for shard, f := range s.seen {
+			f.Ballot += 1 << 20
+			s.seen[shard] = f
+		}
+	}
+	for _, vm := range w.members {
+		w.start(vm)
+	}
+	_, v := w.run(10 * time.Second)
+	is.Equal(v, "")
+	is.Equal(w.unserved(), 0)
+}
+
+// TestPausedDispatcherSendsNothing holds that a paused process which resumes
+// with its old table and leases finds them ended before it sends.
+func TestPausedDispatcherSendsNothing(t *testing.T) {
+	is := is.New(t)
+	w := settled(t, 3, 3)
+	var paused *daemon
+	for _, vm := range w.members {
+		if vm != w.coordinator() {
+			paused = w.daemons[vm]
+		}
+	}
+	paused.paused = true
+	_, v := w.run(2 * time.Second)
+	is.Equal(v, "")
+	is.Equal(w.unserved(), 0) // others took over
+	held := paused.node.Table()
+	dispatches := false
+	for _, e := range held.Targets {
+		dispatches = dispatches || e.Dispatcher == paused.vm
+	}
+	is.True(dispatches)                       // it still believes its old table
+	is.True(!paused.node.Lease().Live(w.now)) // and must not act on it
+	paused.paused = false
+	_, v = w.run(2 * time.Second)
+	is.Equal(v, "")
+	is.Equal(w.unserved(), 0)
+}
+
+// TestCellGivesHomesUp holds that a cell agrees to a move of homes only once it
+// has released the shards, and does not take them again.
+func TestCellGivesHomesUp(t *testing.T) {
+	is := is.New(t)
+	w := settled(t, 3, 3)
+	w.apply(config.PutDataCentre{DataCentre: config.DataCentre{Name: "b", Status: config.DataCentreIn}})
+	w.apply(config.PutCell{Cell: config.Cell{Name: "b", DataCentre: "b", Members: []core.VM{"x"}}})
+	w.apply(config.PutDataCentre{DataCentre: config.DataCentre{Name: "a", Status: config.DataCentreLeaving}})
+	is.Equal(len(w.state.Homes["s"].Moving), shards)
+	is.Equal(len(w.daemons[w.coordinator()].node.Proposals(w.now)), 0) // nothing is released yet
+	_, v := w.run(3 * time.Second)
+	is.Equal(v, "")
+	is.Equal(w.unserved(), shards)
+	for _, p := range w.daemons[w.coordinator()].node.Proposals(w.now) {
+		w.apply(p)
+	}
+	for s := range core.Shard(shards) {
+		home, _ := w.state.Home("s", s)
+		is.Equal(home, core.Cell("b"))
+	}
+}
+
 // TestLoneMemberStops holds that a member which reaches no majority takes no
 // work once its lease has run out, while the rest serve its shards.
 func TestLoneMemberStops(t *testing.T) {
--- a/internal/innerproto/cell_delta.go
+++ b/internal/innerproto/cell_delta.go
@@ -12,7 +12,7 @@
 	}
 	w := &innerpb.CellDelta{
 		Cell: string(d.Cell), Base: fenceToWire(d.Base), Fence: fenceToWire(d.Fence),
-		Coordinator: string(d.Coordinator), Config: uint64(d.Config), Gone: idsToWire(d.Gone),
+		Coordinator: string(d.Coordinator), Config: uint64(d.Config), Unsettled: d.Unsettled, Gone: idsToWire(d.Gone),
 	}
 	for _, e := range d.Targets {
 		w.Targets = append(w.Targets, &innerpb.CellTargetEntry{
@@ -86,7 +86,7 @@
 		return nil
 	}
 	d := &cell.Delta{
-		Cell: core.Cell(w.Cell), Base: fenceFromWire(w.Base), Fence: fenceFromWire(w.Fence), Coordinator: core.VM(w.Coordinator), Config: core.Version(w.Config),
+		Cell: core.Cell(w.Cell), Base: fenceFromWire(w.Base), Fence: fenceFromWire(w.Fence), Coordinator: core.VM(w.Coordinator), Config: core.Version(w.Config), Unsettled: w.Unsettled,
 	}
 	for _, e := range w.Targets {
 		d.Targets = append(d.Targets, cell.TargetEntry{
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -32,12 +32,17 @@
 }
 
 // Announce records t as heard at now. It reports whether the view changed. An
-// announcement of an older incarnation changes nothing.
+// announcement of an older incarnation changes nothing, and neither does one of
+// the same incarnation from another address: two targets use one id, and the
+// one that was heard first stays until it falls silent.
 func (s *Set) Announce(t core.Target, now time.Time) bool {
 	old, ok := s.targets[t.ID]
 	if ok && t.Incarnation < old.target.Incarnation {
 		return false
 	}
+	if ok && t.Incarnation == old.target.Incarnation && t.Address != old.target.Address && now.Sub(old.at) < s.ttl {
+		return false
+	}
 	s.targets[t.ID] = seen{target: t, at: now}
 	return !ok || old.target != t
 }
