--- a/bench/cell_test.go
+++ b/bench/cell_test.go
@@ -8,14 +8,13 @@
 
 	"github.com/matryer/is"
 
-	"github.com/comfreynotch/comfreynotch/api/operatorspb"
 	"github.com/comfreynotch/comfreynotch/bench/cluster"
 	"github.com/comfreynotch/comfreynotch/bench/faketarget"
 )
 
 // TestCellServesEachKeyAtOneOwner holds "every key has exactly one rightful
-// owner" over a cell of three daemons and two targets: a
-// key's requests reach the same target, through whichever member dispatches it.
+// owner" over a cell of three daemons and two targets:
+// whichever daemon takes the call, a key's requests reach the same target.
 func TestCellServesEachKeyAtOneOwner(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
@@ -29,17 +28,10 @@
 		Workspaces: []cluster.Workspace{{Name: "lab", Rate: 1e6, Burst: 1e6}},
 	}, cluster.Options{Folder: t.TempDir()})
 	is.NoErr(err)
-	for _, vm := range c.VMs {
-		_, err := vm.Operate().PutService(ctx, &operatorspb.PutServiceRequest{
-			Change:  &operatorspb.Change{RequestId: "service-archivio"},
-			Service: &operatorspb.Service{Name: "archivio", Keyed: true, Shards: 16, ChecksFence: true, RepeatableGet: true},
-		})
-		is.NoErr(err)
-	}
 	owners := map[string]bool{}
 	for key := range 12 {
 		owner := ""
-		for _, callers := range c.Callers()[:1] {
+		for _, callers := range c.Callers() {
 			url := fmt.Sprintf("http://%s/archivio/batch-%d", callers, key)
 			body := callUntilServed(t, ctx, url, c.Secrets["lab"])
 			is.True(owner == "" || owner == body["target"]) // one owner, whoever is asked
--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/config"
@@ -34,7 +35,8 @@
 // signature is what a plan depends on and time alone can change.
 type signature struct {
 	targets, candidates, lost int
-	settled, placed           bool
+	unsettled                 int
+	placed                    bool
 }
 
 func newCoordinator(self core.VM, n lease.Number, t Timing, now time.Time) *coordinator {
@@ -190,13 +192,13 @@
 	}
 	in := c.inputs(state, members, now)
 	in.Pins = c.pins
-	s := signature{len(in.Targets), len(in.Members), len(in.Lost), in.Settled, in.Placed}
+	s := signature{len(in.Targets), len(in.Members), len(in.Lost), len(in.Unsettled), in.Placed}
 	if !c.dirty && s == c.signature {
 		return false
 	}
 	c.dirty, c.signature, c.pins = false, s, nil
 	next := Plan(c.table, in)
-	if in.Settled && len(in.Targets) > 0 {
+	if in.Placed && len(in.Unsettled) == 0 && len(in.Targets) > 0 {
 		c.hint = nil // it served its one purpose
 	}
 	if next.Config == c.table.Config && next.Unsettled == c.table.Unsettled && Diff(c.table, next).empty() {
@@ -209,13 +211,13 @@
 func (c *coordinator) inputs(state *config.State, members []core.VM, now time.Time) Inputs {
 	in := Inputs{
 		State: state, Fence: c.nextFence(), Coordinator: c.self, Hint: c.hint,
-		Targets: c.targets(now), Lost: map[core.VM]bool{}, Settled: true, Placed: true,
+		Targets: c.targets(now), Lost: map[core.VM]bool{}, Placed: true,
 		Proved: newProofs(),
 	}
 	if c.hint != nil {
 		ended := c.elected.Add(c.timing.MemberTTL + c.timing.Margin)
 		in.Placed = !now.Before(ended)
-		in.Settled = !now.Before(ended.Add(c.timing.GrantTTL + c.timing.Margin + longestDeadline(state)))
+		in.Unsettled = c.unsettled(state, ended, now)
 	}
 	for _, vm := range members {
 		if c.candidate(vm, now) {
@@ -233,16 +235,24 @@
 	return in
 }
 
-// longestDeadline bounds the requests that may still run on targets that do
-// not check fences.
-func longestDeadline(state *config.State) time.Duration {
-	var longest time.Duration
-	for _, svc := range state.Services {
-		if svc.Keyed && !svc.ChecksFence {
-			longest = max(longest, svc.Deadline)
+// defaultDeadline bounds a request of a service that states none.
+const defaultDeadline = 10 * time.Second
+
+// unsettled returns the services of which something granted before the loss of
+// memory may still be live. Requests on targets that check no fences may run
+// until their deadline.
+func (c *coordinator) unsettled(state *config.State, leasesEnded, now time.Time) map[core.Service]bool {
+	open := map[core.Service]bool{}
+	for name, svc := range state.Services {
+		until := leasesEnded.Add(c.timing.GrantTTL + c.timing.Margin)
+		if !svc.ChecksFence {
+			until = until.Add(cmp.Or(svc.Deadline, defaultDeadline))
+		}
+		if svc.Keyed && now.Before(until) {
+			open[name] = true
 		}
 	}
-	return longest
+	return open
 }
 
 // targets merges what the members heard. A target that was announced to a
--- a/internal/cell/plan.go
+++ b/internal/cell/plan.go
@@ -19,10 +19,11 @@
 	Pins        []Pin // asked for by operators since prev
 
 	// After a loss of memory: Hint is what members still knew, Placed says that
-	// every member lease given before has ended, Settled that every grant has.
-	Hint    *Table
-	Placed  bool
-	Settled bool
+	// every member lease given before has ended, Unsettled names the services of
+	// which a grant may still be live.
+	Hint      *Table
+	Placed    bool
+	Unsettled map[core.Service]bool
 }
 
 // Proofs are the facts of all members that fit the table they refer to.
@@ -81,7 +82,7 @@
 func Plan(prev *Table, in Inputs) *Table {
 	next := prev.clone()
 	next.Fence, next.Coordinator = in.Fence, in.Coordinator
-	next.Unsettled = !in.Settled
+	next.Unsettled = !in.Placed || len(in.Unsettled) > 0
 	if asked := lastAsked(in.State, next.Cell); asked > next.Config {
 		next.Config = in.State.Version
 	}
--- a/internal/cell/shards.go
+++ b/internal/cell/shards.go
@@ -35,7 +35,7 @@
 	for s := range p.shards {
 		p.keep(core.Shard(s))
 	}
-	if !p.in.Settled || len(p.load) == 0 {
+	if p.in.Unsettled[p.svc.Name] || len(p.load) == 0 {
 		return p.shards
 	}
 	for _, s := range p.free {
--- a/internal/grant/tenure.go
+++ b/internal/grant/tenure.go
@@ -198,7 +198,7 @@
 // replaced notes that another run of the target answered. The grants of the
 // one before stay in doubt until they have run out.
 func (t *tenure) replaced(r Reply) {
-	t.until, t.doubt = time.Time{}, true
+	t.until, t.doubt = time.Time{}, !t.down
 	t.granted = map[core.Shard]core.Fence{}
 	if r.Incarnation < t.incarnation {
 		t.stale = true // two targets under one id; the newer one counts
--- a/internal/lease/elector.go
+++ b/internal/lease/elector.go
@@ -200,6 +200,9 @@
 		return false
 	}
 	if !a.OK {
+		// The same number promised to an earlier run of this member binds the
+		// voter as a newer one does.
+		e.outbid = e.outbid || !a.Promised.Less(e.number)
 		return false
 	}
 	for _, p := range e.open {
