--- a/internal/cell/coordinator.go
+++ b/internal/cell/coordinator.go
@@ -214,6 +214,7 @@
 		Targets: c.targets(now), Lost: map[core.VM]bool{}, Placed: true,
 		Proved: newProofs(),
 	}
+	drain(in.Targets, state)
 	if c.hint != nil {
 		ended := c.elected.Add(c.timing.MemberTTL + c.timing.Margin)
 		in.Placed = !now.Before(ended)
@@ -235,6 +236,16 @@
 	return in
 }
 
+// drain marks the targets that operators drain, whatever they announce.
+func drain(targets map[core.TargetID]core.Target, state *config.State) {
+	for id := range state.Drained {
+		if t, ok := targets[id]; ok {
+			t.Leaving = true
+			targets[id] = t
+		}
+	}
+}
+
 // defaultDeadline bounds a request of a service that states none.
 const defaultDeadline = 10 * time.Second
 
