Claim idempotency keys over the daemon's own transport

Cause: the claims' client used the process-wide client, which has no keys, so with mutual TLS on the inner listener no claim could reach another member. Conclusion: all clients of the inner protocol go through one dialer.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,7 +77,7 @@
 	}
 	d.recorder = d.newRecorder(s)
 	d.dispatch = dispatch.NewTask(self)
-	d.serving = newServing(self)
+	d.serving = d.newServing(self)
 	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
 	d.grant = d.newGrant(s)
--- a/internal/daemon/serving.go
+++ b/internal/daemon/serving.go
@@ -19,11 +19,12 @@
 	claims   *claims.Task
 }
 
-func newServing(self core.VM) serving {
+func (d *Daemon) newServing(self core.VM) serving {
+	client := &http.Client{Transport: innerproto.StampedTransport(d.recorder, d.secured.transport)}
 	return serving{
 		upstream: upstream.New(self),
 		spread:   spread.NewTask(),
-		claims:   claims.NewTask(self, innerproto.NewClaimsClient(http.DefaultClient)),
+		claims:   claims.NewTask(self, innerproto.NewClaimsClient(client)),
 	}
 }
 
