--- a/bench/slopes/cells.go
+++ b/bench/slopes/cells.go
@@ -43,7 +43,7 @@
 	}
 	in := cell.Inputs{
 		State: state, Fence: core.Fence{Epoch: 1, Ballot: 1, Counter: 1}, Targets: map[core.TargetID]core.Target{},
-		Members: state.Cells["cell-0"].Members, Placed: true, Settled: true,
+		Members: state.Cells["cell-0"].Members, Placed: true,
 	}
 	for i := range targets {
 		id := core.TargetID("target-" + strconv.Itoa(i))
