--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -31,11 +31,18 @@
 
 // startDaemon runs a daemon that wants a token, until the test ends.
 func startDaemon(t *testing.T) terminal {
+	t.Helper()
+	return startDaemonWith(t, func(*settings.Settings) {})
+}
+
+// startDaemonWith is startDaemon with settings that change edits.
+func startDaemonWith(t *testing.T, change func(*settings.Settings)) terminal {
 	t.Helper()
 	s := settings.Default()
 	any := "127.0.0.1:0"
 	s.Listen = settings.Listen{Callers: any, Targets: any, Inner: any, Operators: any, Metrics: any}
 	s.Operators = settings.Operators{Auth: settings.AuthToken, TokenHashes: []string{operators.HashToken(token).String()}}
+	change(s)
 	d, err := daemon.New(s, log.NewNopLogger())
 	if err != nil {
 		t.Fatal(err)
