Record ejections, cold starts and their ends

Cause: the time line lacked what a dispatcher does to a target on its own.

Change: a pool notes when it sets a target aside and when a target turns cold or warm; the dispatch task tells it, and the daemon records it with the target's incarnation as cause.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,6 +77,7 @@
 	}
 	d.recorder = d.newRecorder(s)
 	d.dispatch = dispatch.NewTask(self)
+	d.dispatch.Observe(d.recordTarget)
 	d.serving = newServing(self)
 	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
--- a/internal/daemon/timeline.go
+++ b/internal/daemon/timeline.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/dispatch"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/timeline"
@@ -60,3 +61,21 @@
 	d.handleCell(mux)
 	return innerproto.WithStamps(d.recorder, mux)
 }
+
+var changeKinds = map[dispatch.ChangeKind]timeline.Kind{
+	dispatch.Ejected:    timeline.TargetEjected,
+	dispatch.TurnedCold: timeline.TargetCold,
+	dispatch.TurnedWarm: timeline.TargetWarm,
+}
+
+// recordTarget records a change of a target's treatment.
+func (d *Daemon) recordTarget(c dispatch.Change) {
+	e := timeline.Event{
+		Kind: changeKinds[c.Kind], Service: c.Target.Service, Target: c.Target.ID, DataCentre: c.Target.DataCentre,
+		Cause: timeline.TargetRef(c.Target.ID, c.Target.Incarnation),
+	}
+	if !c.Until.IsZero() {
+		e.Detail = "until " + c.Until.UTC().Format("15:04:05.000")
+	}
+	d.recorder.Record(e)
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -80,6 +80,7 @@
 	group     outlier.Group
 	evaluated time.Time
 	ejected   []int
+	changes   []Change // not yet told
 	latency   latency.Histogram
 	hedge     latency.Cached
 	stuck     latency.Cached
@@ -242,7 +243,9 @@
 	if s.Target.Incarnation != t.info.Incarnation {
 		return
 	}
+	wasCold := t.window.Cold()
 	t.observe(a, now)
+	p.noteWarmth(t, wasCold)
 	if a.Code == result.OK {
 		p.latency.Add(a.Latency)
 	}
@@ -253,6 +256,7 @@
 	p.ejected = p.group.Evaluate(p.stats, now, p.ejected[:0])
 	for _, i := range p.ejected {
 		p.present[i].window.Reset()
+		p.changes = append(p.changes, Change{Target: p.present[i].info, Kind: Ejected, Until: p.stats[i].Until()})
 	}
 }
 
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -81,6 +81,8 @@
 
 	timer   *time.Timer
 	armedAt time.Time // when timer fires; zero: stopped
+
+	observed func(Change)
 }
 
 // NewTask returns the dispatch task of daemon self.
@@ -93,10 +95,16 @@
 		replies: map[Ticket]task.Reply[Grant]{},
 		drains:  newDrains(),
 		tickets: map[task.Reply[Grant]]Ticket{},
-		table:   task.NewSnapshot(&tableVersion{changed: make(chan struct{})}),
+
+		observed: func(Change) {},
+		table:    task.NewSnapshot(&tableVersion{changed: make(chan struct{})}),
 	}
 }
 
+// Observe makes the task call observed, from its own goroutine, with each change
+// of a target's treatment; observed must not wait. It is called before Serve.
+func (t *Task) Observe(observed func(Change)) { t.observed = observed }
+
 // Acquire waits for a slot until the need's deadline or the end of ctx.
 func (t *Task) Acquire(ctx context.Context, n Need) (Slot, error) {
 	reply := task.NewReply[Grant]()
@@ -227,7 +235,11 @@
 func (t *Task) release(s Slot, a exchange.Attempt, now time.Time) {
 	t.inFlight--
 	t.drains.release(s)
-	t.deliver(t.pool(s.Target.Service).Release(s, a, now))
+	pool := t.pool(s.Target.Service)
+	t.deliver(pool.Release(s, a, now))
+	for _, c := range pool.Changes() {
+		t.observed(c)
+	}
 	t.answerIdle()
 }
 
