Drop the kinds of events that nothing records

Cause: five kinds stood in the list without a part that records them, so that a reader would have looked for them in vain.

Change: quota moved, assignment requested, connection silent, stopping and target returned are gone; whoever records one adds it.

Conclusion: each kind that is named can occur.

--- a/internal/timeline/event.go
+++ b/internal/timeline/event.go
@@ -23,7 +23,6 @@
 // The kinds of events.
 const (
 	Started              Kind = "started"               // a daemon began to serve
-	Stopping             Kind = "stopping"              // a daemon began a planned stop
 	LeaderElected        Kind = "leader elected"        // a registry leader took office
 	LeaderLost           Kind = "leader lost"           // a registry leader stepped down
 	ConfigurationChanged Kind = "configuration changed" // a configuration came into force here
@@ -39,17 +38,13 @@
 	TargetLost           Kind = "target lost"           // a target fell silent
 	TargetDraining       Kind = "target draining"       // a target takes no new work
 	TargetEjected        Kind = "target ejected"        // a target gets no work for a while
-	TargetReturned       Kind = "target returned"       // an ejected target gets work again
 	TargetCold           Kind = "target cold"           // a target's limit fell for a cold start
 	TargetWarm           Kind = "target warm"           // a target's limit is whole again
 	DispatcherMoved      Kind = "dispatcher moved"      // another member sends to a target
-	QuotaMoved           Kind = "quota moved"           // shares of a workspace's rate changed hands
 	RefusedInBulk        Kind = "refused in bulk"       // many requests were refused for one reason
 	TaskRestarted        Kind = "task restarted"        // a supervisor started a failed task again
 	DataCentreChanged    Kind = "data centre changed"   // a data centre's status changed
 	CallerKeyWithdrawn   Kind = "caller key withdrawn"  // a caller key stopped working here
-	AssignmentRequested  Kind = "assignment requested"  // an operator asked for an assignment
-	ConnectionSilent     Kind = "connection silent"     // a connection was given up because it went silent
 )
 
 // Event is one thing that happened in one daemon. Fields that do not apply are
