Give the stand-in target its clock

Cause: the stand-in answered no clock reading, so the system granted by the weaker count from the receipt, and no test ran the stronger one over sockets. Change: the stand-in answers clock_ms, counts a grant from since_ms and carries out no order for another incarnation, as docs/TARGETS.md says.

--- a/bench/faketarget/grants.go
+++ b/bench/faketarget/grants.go
@@ -13,7 +13,8 @@
 	Service core.Service
 	Holder  core.Fence // of the sender's member lease
 	TTL     time.Duration
-	Reset   bool // drop every shard of the service first
+	Since   time.Duration // reading of the target's clock from which TTL counts; 0: the receipt
+	Reset   bool          // drop every shard of the service first
 	Add     []ShardFence
 	Remove  []ShardFence
 }
@@ -52,16 +53,17 @@
 // of each shard, and the tenures that ended.
 type grants struct {
 	target core.TargetID
-	checks bool // refuse fences older than one seen
+	began  time.Time // zero of the target's clock
+	checks bool      // refuse fences older than one seen
 	holder map[core.Service]core.Fence
 	seen   map[shardKey]core.Fence
 	held   map[shardKey]*Tenure
 	ended  []Tenure
 }
 
-func newGrants(target core.TargetID, checks bool) *grants {
+func newGrants(target core.TargetID, checks bool, began time.Time) *grants {
 	return &grants{
-		target: target, checks: checks,
+		target: target, checks: checks, began: began,
 		holder: map[core.Service]core.Fence{},
 		seen:   map[shardKey]core.Fence{},
 		held:   map[shardKey]*Tenure{},
@@ -87,14 +89,25 @@
 		g.add(shardKey{o.Service, a.Shard}, a.Fence, now)
 	}
 	until := now.Add(o.TTL)
+	if o.Since > 0 {
+		until = g.began.Add(o.Since + o.TTL)
+	}
 	for k, t := range g.held {
 		if k.service == o.Service {
-			t.End = until
+			t.End = latest(t.End, until)
 		}
 	}
+	g.expire(now)
 	return core.Fence{}, true
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (g *grants) older(o GrantOrder) (newer core.Fence, old bool) {
 	if h := g.holder[o.Service]; o.Holder.Less(h) {
 		return h, true
--- a/bench/faketarget/grantsedge.go
+++ b/bench/faketarget/grantsedge.go
@@ -9,12 +9,14 @@
 )
 
 type grantOrder struct {
-	Service string       `json:"service"`
-	Holder  string       `json:"holder"`
-	TTLms   int64        `json:"ttl_ms"`
-	Reset   bool         `json:"reset"`
-	Add     []shardFence `json:"add"`
-	Remove  []shardFence `json:"remove"`
+	Service     string       `json:"service"`
+	Holder      string       `json:"holder"`
+	Incarnation uint64       `json:"incarnation"`
+	TTLms       int64        `json:"ttl_ms"`
+	SinceMs     int64        `json:"since_ms"`
+	Reset       bool         `json:"reset"`
+	Add         []shardFence `json:"add"`
+	Remove      []shardFence `json:"remove"`
 }
 
 type shardFence struct {
@@ -25,6 +27,7 @@
 type grantAnswer struct {
 	Incarnation uint64 `json:"incarnation"`
 	Held        int    `json:"held"`
+	ClockMs     int64  `json:"clock_ms"`
 }
 
 type staleAnswer struct {
@@ -41,6 +44,7 @@
 
 type heldAnswer struct {
 	Incarnation uint64      `json:"incarnation"`
+	ClockMs     int64       `json:"clock_ms"`
 	Shards      []heldShard `json:"shards"`
 }
 
@@ -62,8 +66,12 @@
 		return
 	}
 	got, err := ask(r.Context(), t, func(m *model, now time.Time) grantResult {
-		stale, ok := m.grants.apply(order, now)
-		return grantResult{grantAnswer{uint64(m.incarnation), len(m.grants.held)}, stale, ok}
+		stale, ok := core.Fence{}, true
+		if in.Incarnation == 0 || in.Incarnation == uint64(m.incarnation) {
+			stale, ok = m.grants.apply(order, now)
+		}
+		answer := grantAnswer{uint64(m.incarnation), len(m.grants.held), m.clockMs(now)}
+		return grantResult{answer, stale, ok}
 	})
 	switch {
 	case err != nil:
@@ -90,6 +98,7 @@
 	}
 	return GrantOrder{
 		Service: core.Service(o.Service), Holder: holder, TTL: time.Duration(o.TTLms) * time.Millisecond,
+		Since: time.Duration(o.SinceMs) * time.Millisecond,
 		Reset: o.Reset, Add: add, Remove: remove,
 	}, nil
 }
@@ -108,7 +117,7 @@
 
 func (t *Target) listGrants(w http.ResponseWriter, r *http.Request) {
 	answer, err := ask(r.Context(), t, func(m *model, now time.Time) heldAnswer {
-		out := heldAnswer{Incarnation: uint64(m.incarnation), Shards: []heldShard{}}
+		out := heldAnswer{Incarnation: uint64(m.incarnation), ClockMs: m.clockMs(now), Shards: []heldShard{}}
 		for _, h := range m.grants.list(now) {
 			out.Shards = append(out.Shards, heldShard{
 				string(h.Service), uint32(h.Shard), h.Fence.String(), h.Until.Sub(now).Milliseconds(),
--- a/bench/faketarget/model.go
+++ b/bench/faketarget/model.go
@@ -111,18 +111,21 @@
 // connection numbers the accepted connections of one stand-in.
 type connection uint64
 
-func newModel(o Options) *model {
+func newModel(o Options, now time.Time) *model {
 	if o.Connections == 0 {
 		o.Connections = defaultConnections
 	}
 	o.ColdSlots = max(o.ColdSlots, 1)
 	return &model{
 		options: o, incarnation: 1, loadLie: -1,
-		grants:      newGrants(core.TargetID(o.ID), o.ChecksFence),
+		grants:      newGrants(core.TargetID(o.ID), o.ChecksFence, now),
 		connections: map[connection]bool{},
 	}
 }
 
+// clockMs is the stand-in's monotonic clock in milliseconds, above 0.
+func (m *model) clockMs(now time.Time) int64 { return max(1, now.Sub(m.grants.began).Milliseconds()) }
+
 // ramp is the number of requests at once that the stand-in bears at now.
 func (m *model) ramp(now time.Time) int {
 	if m.coldSince.IsZero() || m.options.WarmUp <= 0 {
--- a/bench/faketarget/target_test.go
+++ b/bench/faketarget/target_test.go
@@ -18,7 +18,7 @@
 // nothing.
 func TestGrantsRefuseOldFences(t *testing.T) {
 	is := is.New(t)
-	g := newGrants("t1", true)
+	g := newGrants("t1", true, epochStart)
 	add := func(c uint64) GrantOrder {
 		return GrantOrder{Service: "s", Holder: fence(c), TTL: time.Second, Add: []ShardFence{{3, fence(c)}}}
 	}
@@ -35,10 +35,30 @@
 	is.Equal(len(g.tenures()), 1)
 }
 
+// TestLateOrderGrantsNothing holds that an order which waited in the buffer of a
+// frozen target is worth nothing once its time has passed on the target's clock.
+func TestLateOrderGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	g := newGrants("t1", true, epochStart)
+	order := GrantOrder{
+		Service: "s", Holder: fence(5), TTL: time.Second, Since: 2 * time.Second,
+		Add: []ShardFence{{3, fence(5)}},
+	}
+	late := epochStart.Add(3500 * time.Millisecond)
+	_, ok := g.apply(order, late)
+	is.True(ok)
+	is.True(!g.allows("s", 3, fence(5), late))
+	order.Since, order.Holder = 3*time.Second, fence(6)
+	_, ok = g.apply(order, late)
+	is.True(ok)
+	is.True(g.allows("s", 3, fence(5), late))
+	is.True(!g.allows("s", 3, fence(5), epochStart.Add(4*time.Second)))
+}
+
 // TestColdStandInCollapses holds that the stand-in punishes work above its ramp.
 func TestColdStandInCollapses(t *testing.T) {
 	is := is.New(t)
-	m := newModel(Options{ID: "t1", Slots: 4, Work: time.Millisecond, WarmUp: time.Second})
+	m := newModel(Options{ID: "t1", Slots: 4, Work: time.Millisecond, WarmUp: time.Second}, epochStart)
 	m.cold(epochStart)
 	first := m.begin(0, Run{}, epochStart)
 	second := m.begin(0, Run{}, epochStart)
--- a/bench/faketarget/task.go
+++ b/bench/faketarget/task.go
@@ -70,7 +70,7 @@
 // loop owns the model. While the stand-in is frozen it answers nothing and the
 // messages wait, as they would at a stopped process.
 func (t *Target) loop(ctx context.Context, failed <-chan error) error {
-	m := newModel(t.options)
+	m := newModel(t.options, time.Now())
 	if !t.options.StartsWarm {
 		m.cold(time.Now())
 	}
