Stop in order: readiness, callers, other daemons, tasks

The end of the context stopped every listener and task at once and gave requests eight seconds, so that long answers were cut and forwards failed in between.

SIGTERM now turns readiness off (GET /-/ready on the callers' listener, and the readiness of the metrics' listener), keeps the callers' listener open for the settle time (new setting stop_settle_ms, 2000), ends the callers' requests, then those that other daemons forwarded, waits until no slot is held, and only then stops the tasks; leases are renewed until then. The whole is bounded by five minutes. Header size, idle time and the time to send a body are bounded too.

Leases are not yet handed back early: they run out.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,6 +48,7 @@
 	rebalance  *rebalance.Task
 	policy     operators.Policy
 	serving    serving
+	stopping   stopping
 	metrics    *telemetry.Metrics
 	pipeline   *serve.Server
 }
@@ -73,6 +74,7 @@
 	d.recorder = d.newRecorder(s)
 	d.dispatch = dispatch.NewTask(self)
 	d.serving = newServing(self)
+	d.stopping = newStopping()
 	d.hotkeys = hotkeys.NewTask()
 	d.cell = d.newCell(s)
 	d.grant = d.newGrant(s)
@@ -130,11 +132,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	d.recorder.Record(timeline.Event{Kind: timeline.Started})
 	_ = level.Info(d.logger).Log("msg", "serving", "callers", d.CallersAddress(), "operators", d.OperatorsAddress())
-	err := d.root.Serve(ctx)
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
+	return d.untilStopped(ctx)
 }
 
 // CallersAddress is the bound address of the callers' listener.
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -72,5 +72,6 @@
 		LeaseLive:   d.cell.Lease().Live(time.Now()),
 		LeaderKnown: time.Since(d.registry.copy.ConfirmedAt()) < leaderSilence,
 		Coordinator: d.cell.Coordinator(),
+		Stopping:    *d.stopping.begun.Load(),
 	}
 }
--- a/internal/daemon/servers.go
+++ b/internal/daemon/servers.go
@@ -15,36 +15,47 @@
 	targetTTL         = 3 * time.Second
 	readHeaderTimeout = 5 * time.Second
 	shutdownTimeout   = 8 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
 )
 
 // servers returns one supervised task for each listener.
 func (d *Daemon) servers() []task.Service {
 	return []task.Service{
-		httpTask("callers", d.listeners.callers, d.callersHandler()),
-		httpTask("targets", d.listeners.targets, announce.Handler(d.membership)),
-		httpTask("inner", d.listeners.inner, d.innerHandler()),
-		httpTask("operators", d.listeners.operators, d.operatorsHandler()),
-		httpTask("metrics", d.listeners.metrics, d.metricsHandler()),
+		httpTask("callers", d.listeners.callers, d.withReadiness(d.callersHandler()), d.stopping.callers),
+		httpTask("targets", d.listeners.targets, announce.Handler(d.membership), drain{}),
+		httpTask("inner", d.listeners.inner, d.innerHandler(), d.stopping.inner),
+		httpTask("operators", d.listeners.operators, d.operatorsHandler(), drain{}),
+		httpTask("metrics", d.listeners.metrics, d.metricsHandler(), drain{}),
 	}
 }
 
-// httpTask owns one listener and serves h on it until its context ends; then it
-// lets the requests in flight end.
-func httpTask(name string, l net.Listener, h http.Handler) task.Service {
+// httpTask owns one listener and serves h on it until its context ends, or
+// until dr begins; then it lets the requests in flight end.
+func httpTask(name string, l net.Listener, h http.Handler, dr drain) task.Service {
 	return task.Func(name, func(ctx context.Context) error {
-		srv := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+		srv := &http.Server{
+			Handler: h, ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		}
 		failed := make(chan error, 1)
 		go func() { failed <- srv.Serve(l) }()
+		timeout := shutdownTimeout
 		select {
 		case err := <-failed:
 			return err
 		case <-ctx.Done():
+		case <-dr.begin:
+			timeout = drainTimeout
 		}
-		grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 		defer cancel()
-		if err := srv.Shutdown(grace); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		err := srv.Shutdown(grace)
+		dr.end()
+		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
 			return err
 		}
+		<-ctx.Done()
 		return ctx.Err()
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 const (
 	defaultDeadline = 10 * time.Second
 	defaultMaxBody  = 1 << 20 // bytes
+	bodyTimeout     = 30 * time.Second
 )
 
 // Pipeline takes one request through its stages.
@@ -53,7 +54,11 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := core.RequestID(rand.Text())
 	w.Header().Set(HeaderRequestID, string(id))
+	// A caller that stops sending its body does not hold the request for ever.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	r, err := h.read(req, id)
+	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
 		WriteError(w, err)
 		return
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,7 @@
 	Operators    Operators `json:"operators,omitzero" doc:"who counts as an operator"`
 	InnerTLS     TLS       `json:"inner_tls,omitzero" doc:"mutual TLS between daemons"`
 	OperatorsTLS TLS       `json:"operators_tls,omitzero" doc:"TLS of the operators' listener"`
+	StopSettleMS int       `json:"stop_settle_ms,omitempty" doc:"milliseconds for which a planned stop keeps the callers' listener open after readiness went off" default:"2000"`
 	Bootstrap    Bootstrap `json:"bootstrap,omitzero" doc:"configuration of the registry's first start; ignored once the registry holds any"`
 }
 
