--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -58,7 +58,7 @@
 	}
 	d.stop(running)
 	stopAll()
-	<-failed
+	_ = <-failed
 	return nil
 }
 
