--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -58,7 +60,9 @@
 	}
 	d.stop(running)
 	stopAll()
-	_ = <-failed
+	if err := <-failed; err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("stop: %w", err)
+	}
 	return nil
 }
 
