Probe again when a probe of a suspect path failed

When the new connection that is to tell a silent connection from a slow target failed once, the suspect requests waited for their deadline. The next tick probes again now, as long as the path is in use.

--- a/internal/upstream/task.go
+++ b/internal/upstream/task.go
@@ -124,6 +124,9 @@
 			for _, p := range *c.paths.Load() {
 				go c.probe(ctx, p, false)
 			}
+			for p := range c.waiting {
+				go c.probe(ctx, p, true)
+			}
 		}
 	}
 }
@@ -182,6 +185,9 @@
 		return
 	}
 	aborts := c.waiting[m.path]
+	if !m.works && (*c.paths.Load())[m.path.target] == m.path {
+		return // the next tick probes again
+	}
 	delete(c.waiting, m.path)
 	if !m.works {
 		return
