Test the callers' edge with a confirmed configuration

The edge refuses requests as "starting" until a configuration is confirmed, which is right. The tests used one of version 0; theirs is version 1 now, and what they check stays as strict.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -28,6 +28,7 @@
 
 func stateWithKey() *config.State {
 	s := config.NewState()
+	s.Version = 1
 	s.Workspaces["lab"] = config.Workspace{Name: "lab"}
 	s.CallerKeys[config.HashSecret(secret)] = config.CallerKey{ID: "k", Workspace: "lab"}
 	s.Services["open"] = config.Service{Name: "open", MaxBodyBytes: 10}
