Refuse by the rate only when an answer lacked tokens

Change: only an answer that lacked tokens counts as a sign of being over the rate. Conclusion: this was one cause; the rest is looked for.

--- a/internal/quota/admission.go
+++ b/internal/quota/admission.go
@@ -36,7 +36,7 @@
 type admissionAccount struct {
 	account
 	waiting    []waiter
-	shownUntil time.Time // requests that began before are known to have been answered for
+	shownUntil time.Time // an answer lacked tokens for requests that began before
 }
 
 type waiter struct {
@@ -115,7 +115,9 @@
 			continue
 		}
 		acc.receive(got, now)
-		acc.shownUntil = now.Add(got.RetryAfter)
+		if got.RetryAfter > 0 {
+			acc.shownUntil = now.Add(got.RetryAfter)
+		}
 		verdicts = acc.admitWaiting(verdicts, now)
 		acc.setLimit(acc.limit)
 	}
@@ -162,9 +164,9 @@
 	return verdicts
 }
 
-// expired reports whether w has waited long enough. Only an answer of the
-// source after w began to wait, or one whose advice was to ask later than that,
-// shows that the workspace is over its rate.
+// expired reports whether w has waited long enough. Only an answer that lacked
+// tokens after w began to wait, or whose advice was to ask later than that, shows
+// that the workspace is over its rate.
 func (a *admissionAccount) expired(w waiter, now time.Time) bool {
 	waited := now.Sub(w.since)
 	return waited >= unreachableWait || waited >= tokenWait && a.shownUntil.After(w.since)
