--- a/bench/policy/choice.go
+++ b/bench/policy/choice.go
@@ -87,9 +87,6 @@
 		targets = append(targets, core.Target{ID: targetID(i), Service: "certdesk", Incarnation: 1, Slots: l.Slots})
 	}
 	r.deliver(r.pool.Update(targets, r.zero), 0)
-	for _, t := range targets {
-		r.pool.HandOver([]core.TargetID{t.ID}) // in service before: not cold
-	}
 	r.at(0, r.arrive)
 	r.at(pumpPeriod, r.pump)
 	for len(r.queue) > 0 {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -134,16 +134,6 @@
 	return p.pumpAll(now)
 }
 
-// HandOver tells that other daemons sent to these targets until now, so that
-// they are not cold.
-func (p *Pool) HandOver(ids []core.TargetID) {
-	for _, id := range ids {
-		if t := p.targets[id]; t != nil {
-			t.window.HandOver()
-		}
-	}
-}
-
 // queueFor marks the target as gone when targets does not hold it, and refuses
 // the needs that wait for it.
 func (t *target) queueFor(p *Pool, targets []core.Target) {
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -225,7 +225,6 @@
 func warm(p *Pool, targets []core.Target, now time.Time) {
 	p.Update(targets, now)
 	for _, t := range p.present {
-		p.HandOver([]core.TargetID{t.info.ID})
 		for t.window.Cold() {
 			t.inFlight++
 			p.Release(Slot{Target: t.info}, exchange.Attempt{Latency: time.Millisecond}, now)
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -76,7 +76,6 @@
 	inFlight int
 	drains   *drains
 	hotKeys  map[shardKey]uint64 // shards that hold a single key, and its hash
-	history  history
 	table    task.Snapshot[tableVersion]
 	idle     []task.Reply[struct{}]
 
@@ -95,7 +94,6 @@
 		pools:   map[core.Service]*Pool{},
 		replies: map[Ticket]task.Reply[Grant]{},
 		drains:  newDrains(),
-		history: history{},
 		tickets: map[task.Reply[Grant]]Ticket{},
 
 		observed: func(Change) {},
@@ -271,7 +269,6 @@
 
 func (t *Task) update(table *cell.Table, now time.Time) {
 	t.setHotKeys(table)
-	handed := t.history.handedOver(t.self, table, now)
 	byService := map[core.Service][]core.Target{}
 	for _, e := range table.Targets {
 		if e.Dispatcher == t.self && !e.Releasing {
@@ -286,7 +283,6 @@
 	for name, targets := range byService {
 		p := t.pool(name)
 		t.deliver(p.Update(targets, now))
-		p.HandOver(handed)
 		if p.Idle() {
 			delete(t.pools, name)
 		}
--- a/internal/slowstart/slowstart.go
+++ b/internal/slowstart/slowstart.go
@@ -1,13 +1,10 @@
 // Package slowstart limits the requests in flight on one target by what the
 // target has shown that it bears: one at a time at first, then a ramp that
-// grows with time and served answers and shrinks on signs of overload. It is a
+// grows with each served round and shrinks on signs of overload. It is a
 // decisions layer only.
 package slowstart
 
-import (
-	"math/bits"
-	"time"
-)
+import "time"
 
 const (
 	growth        = 0.5                   // of the allowance, for each served round
@@ -19,10 +16,6 @@
 	slowSmoothing = 32                    // the same for slow answers
 	firstPause    = 50 * time.Millisecond // after a refusal while one at a time was allowed
 	longestStop   = time.Second
-	shortestRamp  = 4500 * time.Millisecond // from one request to all slots, at least
-	longestRamp   = 30 * time.Second        // the same after overloads
-	recentAnswers = 0b1111                  // of a ramp, that are looked at together
-	recentSlow    = 3                       // of those, that show overload
 )
 
 // Kind is what one request showed of its target.
@@ -53,24 +46,8 @@
 	hold     int           // ends of requests to pass before another decrease
 	pause    time.Duration // length of the newest pause
 	pausedTo time.Time
-
-	handed bool  // warm at another daemon a moment ago: the ramp ends with the answers
-	recent uint8 // the newest answers of a ramp, a bit each: 1 was slow
-	ramp   ramp
 }
 
-// ramp bounds a cold target's allowance by time, since a target that warms up
-// shows only by collapsing that it got too much.
-type ramp struct {
-	from   time.Time // zero: no answer yet
-	base   float64   // allowance above one at from
-	length time.Duration
-}
-
-// HandOver tells that another daemon sent to the target until now. It is not
-// cold, so its allowance grows with its answers alone.
-func (w *Window) HandOver() { w.handed = true }
-
 // Reset makes the target cold: one request at a time.
 func (w *Window) Reset() { *w = Window{} }
 
@@ -95,7 +72,7 @@
 	w.hold = max(w.hold-1, 0)
 	switch o.Kind {
 	case Served:
-		return w.served(o, slots, now)
+		return w.served(o, slots)
 	case Shed, Refused:
 		return w.backOff(now)
 	case Failed:
@@ -109,16 +86,11 @@
 }
 
 // served grows the window by growth for each round of answers, at least by one,
-// as long as they are not slow and time allows it.
-func (w *Window) served(o Outcome, slots int, now time.Time) bool {
+// as long as they are not slow.
+func (w *Window) served(o Outcome, slots int) bool {
 	w.pause = 0
 	slow := w.isSlow(o)
 	w.learn(o.Latency, slow)
-	if w.rampOverloaded(slow) {
-		w.shrink()
-		w.ramp = ramp{from: now, base: w.grown, length: min(2*w.ramp.length, longestRamp)}
-		return false
-	}
 	if slow {
 		w.slow++
 		if w.slow < slowRun {
@@ -128,43 +100,13 @@
 	}
 	w.slow = 0
 	allowance := 1 + w.grown
-	w.grown = min(w.grown+max(growth, 1/allowance), w.ceiling(slots, now))
+	w.grown = min(w.grown+max(growth, 1/allowance), float64(slots-1))
 	if allowance >= float64(slots) || w.grown >= float64(slots-1) {
 		w.warm = true
 	}
 	return false
 }
 
-// ceiling is the most that may be allowed above one at now.
-func (w *Window) ceiling(slots int, now time.Time) float64 {
-	most := float64(slots - 1)
-	if w.warm || w.handed {
-		return most
-	}
-	if w.ramp.from.IsZero() {
-		w.ramp = ramp{from: now, base: w.grown, length: max(w.ramp.length, shortestRamp)}
-	}
-	passed := now.Sub(w.ramp.from)
-	return min(most, w.ramp.base+most*passed.Seconds()/w.ramp.length.Seconds())
-}
-
-// rampOverloaded takes one answer of a cold target's ramp and reports whether
-// the newest together show overload.
-func (w *Window) rampOverloaded(slow bool) bool {
-	if w.warm || w.handed {
-		return false
-	}
-	w.recent = w.recent << 1 & recentAnswers
-	if slow {
-		w.recent |= 1
-	}
-	if bits.OnesCount8(w.recent) < recentSlow {
-		return false
-	}
-	w.recent = 0
-	return true
-}
-
 // learn smooths the latencies of the ramp. A slow answer counts at most as the
 // limit of slow ones and with less weight, so that overload does not become
 // typical, and one fast answer does not make all others slow for good.
@@ -205,12 +147,9 @@
 // most, it rests, each time twice as long, so that a target which fails fast
 // does not draw all the work.
 func (w *Window) backOff(now time.Time) bool {
-	wasWarm, pause, length := w.warm, w.pause, w.ramp.length
+	wasWarm, pause := w.warm, w.pause
 	lone := w.grown < 1
 	w.Reset()
-	if !wasWarm {
-		w.ramp.length = min(2*length, longestRamp)
-	}
 	if lone && !wasWarm {
 		w.pause = min(max(2*pause, firstPause), longestStop)
 		w.pausedTo = now.Add(w.pause)
--- a/internal/slowstart/slowstart_test.go
+++ b/internal/slowstart/slowstart_test.go
@@ -20,9 +20,8 @@
 
 func warmed(slots int) *Window {
 	w := &Window{}
-	for i := range 20 * slots {
-		now := start.Add(time.Duration(i) * shortestRamp / time.Duration(10*slots))
-		w.Observe(Outcome{Kind: Served, Latency: time.Millisecond}, slots, now)
+	for range 3 * slots {
+		w.Observe(Outcome{Kind: Served, Latency: time.Millisecond}, slots, start)
 	}
 	return w
 }
@@ -35,66 +34,29 @@
 	is.Equal(w.Limit(6, start), 1)
 	is.True(w.Cold())
 	before := 1
-	for i := range 100 {
-		at := start.Add(time.Duration(i) * shortestRamp / 90)
-		w.Observe(Outcome{Kind: Served, Latency: time.Millisecond}, 6, at)
-		now := w.Limit(6, at)
-		is.True(now-before <= 1)                                      // no jump
-		is.True(at.Sub(start) >= shortestRamp/5*time.Duration(now-1)) // not before its time
+	for range 12 {
+		w.Observe(Outcome{Kind: Served, Latency: time.Millisecond}, 6, start)
+		now := w.Limit(6, start)
+		is.True(now-before <= 1) // no jump
 		before = now
 	}
 	is.Equal(before, 6)
 	is.True(!w.Cold())
 }
 
-// TestHandedOverTargetNeedsNoTime: a target that another daemon sent to until
-// now shows by its answers alone what it bears.
-func TestHandedOverTargetNeedsNoTime(t *testing.T) {
-	is := is.New(t)
-	w := &Window{}
-	w.HandOver()
-	is.Equal(w.Limit(6, start), 1)
-	for range 12 {
-		w.Observe(Outcome{Kind: Served, Latency: time.Millisecond}, 6, start)
-	}
-	is.Equal(w.Limit(6, start), 6)
-}
-
-// TestCollapseSlowsTheRamp: a target that warms up more slowly than the ramp
-// and falls back to nothing at each request too many collapses a few times, not
-// all the time.
-func TestCollapseSlowsTheRamp(t *testing.T) {
-	is := is.New(t)
-	const warmUp, work = 12 * time.Second, 20 * time.Millisecond
-	w, now, cold, collapses := &Window{}, start, start, 0
-	for now.Sub(start) < 2*time.Minute {
-		bears := 1 + int(5*min(1, now.Sub(cold).Seconds()/warmUp.Seconds()))
-		latency := work
-		for range w.Limit(6, now) - bears {
-			cold, latency = now, 10*work
-			collapses++
-		}
-		w.Observe(Outcome{Kind: Served, Latency: latency}, 6, now)
-		now = now.Add(work)
-	}
-	is.True(collapses < 40) // of 6,000 requests
-	is.Equal(w.Limit(6, now), 6)
-}
-
 // TestRampStopsAtWhatTheTargetBears: answers that slow down as the load grows
 // end the growth.
 func TestRampStopsAtWhatTheTargetBears(t *testing.T) {
 	is := is.New(t)
 	w := &Window{}
-	for i := range 100 {
-		now := start.Add(time.Duration(i) * shortestRamp / 50)
-		limit := w.Limit(16, now)
+	for range 100 {
+		limit := w.Limit(16, start)
 		latency := 10 * time.Millisecond
 		if limit > 3 { // bears three
 			latency *= time.Duration(limit * limit)
 		}
-		w.Observe(Outcome{Kind: Served, Latency: latency}, 16, now)
-		is.True(w.Limit(16, now) <= 5)
+		w.Observe(Outcome{Kind: Served, Latency: latency}, 16, start)
+		is.True(w.Limit(16, start) <= 5)
 	}
 	is.True(w.Limit(16, start) >= 2)
 }
