Serve the platform's callers through control and entry VMs

Cause: the product had no way to run on the users' platform. Targets call control there, grants ride on their heartbeats, no list of VMs exists, and entry VMs must send to targets themselves.

Change: control VMs replicate items of the configuration and the owners of keys in the registry's log; its leader hears heartbeats and grants keys (internal/fleet); entry VMs follow the configuration by the existing long polls and the fleet by another (internal/balance, internal/relay); platform/ translates. Leases are counted by a clock that includes the time during which a VM is suspended.

--- a/cmd/comfreynotchd/main.go
+++ b/cmd/comfreynotchd/main.go
@@ -15,6 +15,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/operators"
 	"github.com/comfreynotch/comfreynotch/internal/settings"
 	"github.com/comfreynotch/comfreynotch/internal/telemetry"
+	"github.com/comfreynotch/comfreynotch/platform"
 )
 
 // Exit codes; docs/RESULT-CODES.md lists them.
@@ -38,6 +39,9 @@
 	if errors.Is(err, flag.ErrHelp) {
 		return exitOK
 	}
+	if err == nil && o.platform {
+		return servePlatform(ctx, stdout, stderr)
+	}
 	if err == nil {
 		err = o.settings.Check()
 	}
@@ -97,5 +101,18 @@
 	return exitOK
 }
 
+// servePlatform runs the role that the users' platform gives this process.
+// SIGHUP asks for a new look at its settings.
+func servePlatform(ctx context.Context, stdout, stderr io.Writer) int {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
+	if err := platform.Main(ctx, stdout, hangUps); err != nil {
+		fail(stderr, err)
+		return exitFailure
+	}
+	return exitOK
+}
+
 // fail writes err as one line. A writer that fails leaves only the exit code.
 func fail(stderr io.Writer, err error) { _, _ = fmt.Fprintln(stderr, "comfreynotchd:", err) }
--- a/cmd/comfreynotchd/options.go
+++ b/cmd/comfreynotchd/options.go
@@ -15,6 +15,7 @@
 type options struct {
 	settings *settings.Settings
 	check    bool
+	platform bool // the users' platform gives the settings
 }
 
 const usage = `comfreynotchd runs one daemon of the system.
@@ -22,6 +23,7 @@
   comfreynotchd                                  a single daemon on loopback with everything in it
   comfreynotchd -settings FILE                   one daemon as its settings say
   comfreynotchd -settings FILE -check            check the settings and exit
+  comfreynotchd -platform                        a control or entry VM, as the platform's settings say
 
 A flag goes before its environment variable, that before the settings file, that
 before the default. The variable of -log-level is COMFREYNOTCHD_LOG_LEVEL.
@@ -63,6 +65,7 @@
 	fs.SetOutput(io.Discard)
 	path := fs.String("settings", "", "JSON settings file; without one, a single daemon on loopback")
 	check := fs.Bool("check", false, "check the settings and exit")
+	onPlatform := fs.Bool("platform", false, "take the settings and the role from the platform")
 	for _, r := range replacements {
 		fs.String(r.name, "", r.doc+"; replaces the settings file's")
 	}
@@ -78,6 +81,9 @@
 	if fs.NArg() > 0 {
 		return nil, result.New(result.CommandLineMisuse, "want flags only, not %q", fs.Arg(0))
 	}
+	if *onPlatform {
+		return &options{platform: true}, nil
+	}
 	s := settings.Default()
 	if *path != "" {
 		read, err := settings.Read(*path)
--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,112 @@
+// Package balance decides on an entry VM which target runs a request, from the
+// VM's own requests in flight and from what targets say of their load. It also
+// counts what is divided among the entry VMs: rates of workspaces, the
+// allowance of cold targets, and the budget of repeats. Decisions: this file,
+// choose.go, target.go, limits.go. Task: task.go.
+package balance
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/fleet"
+)
+
+// Bounds are what the deployment allows over all entry VMs.
+type Bounds struct {
+	ColdOverage    float64 // a cold target bears its rate times this, and ColdSlack, in any second
+	ColdSlack      float64
+	BudgetRatio    float64 // repeats for each request, in any BudgetWindow
+	BudgetExtra    float64 // repeats beyond that
+	BudgetWindow   time.Duration
+	MaxProofAge    time.Duration // requests with a caller key need a configuration confirmed as lately
+	EvacuatedAsNew bool
+}
+
+// Pool is what an entry VM knows of all targets. Its owner alone calls it.
+type Pool struct {
+	bounds   Bounds
+	random   *rand.Rand
+	state    *config.State
+	targets  map[core.TargetID]*target
+	services map[core.Service][]*target
+	entries  int // entry VMs that share the limits
+	place    int // of this one
+	term     uint64
+	buckets  map[core.Workspace]*bucket
+	budgets  map[core.Service]*budget
+	work     map[string]*work // by route
+	splits   map[string]*split
+}
+
+// NewPool returns a pool without targets.
+func NewPool(bounds Bounds, seed uint64) *Pool {
+	return &Pool{
+		bounds: bounds, random: rand.New(rand.NewPCG(seed, seed>>1|1)), state: config.NewState(),
+		targets: map[core.TargetID]*target{}, services: map[core.Service][]*target{},
+		entries: 1, buckets: map[core.Workspace]*bucket{}, budgets: map[core.Service]*budget{},
+		work: map[string]*work{}, splits: map[string]*split{},
+	}
+}
+
+// ConfigChanged takes the configuration in force.
+func (p *Pool) ConfigChanged(s *config.State) { p.state = s }
+
+// Told takes news of the fleet.
+func (p *Pool) Told(n fleet.News, now time.Time) {
+	if n.Term != p.term {
+		p.term = n.Term
+		for _, t := range p.targets {
+			t.confirmed = false
+		}
+	}
+	p.entries, p.place = max(n.Entries, 1), n.Place
+	for _, s := range n.Targets {
+		p.tell(s, now)
+	}
+	for _, s := range n.Shares {
+		p.bucketOf(s.Workspace).setShare(s, now)
+	}
+}
+
+func (p *Pool) tell(s fleet.TargetState, now time.Time) {
+	t := p.targets[s.ID]
+	switch {
+	case s.Gone && t == nil:
+		return
+	case s.Gone && (s.Incarnation >= t.Incarnation || s.Incarnation == 0):
+		p.remove(t)
+		return
+	case t == nil || s.Incarnation > t.Incarnation:
+		if t != nil {
+			p.remove(t)
+		}
+		t = newTarget(s.Target, now)
+		p.targets[s.ID] = t
+		p.services[s.Service] = append(p.services[s.Service], t)
+	}
+	t.Target, t.granted, t.confirmed = s.Target, s.Granted, true
+	t.coldUntil = now.Add(s.ColdFor)
+}
+
+func (p *Pool) remove(t *target) {
+	delete(p.targets, t.ID)
+	list := p.services[t.Service]
+	for i, o := range list {
+		if o == t {
+			p.services[t.Service] = append(append([]*target(nil), list[:i]...), list[i+1:]...)
+			return
+		}
+	}
+}
+
+// Report is what this VM tells the leader.
+func (p *Pool) Report(self core.VM, now time.Time) fleet.Report {
+	r := fleet.Report{VM: self}
+	for name, b := range p.buckets {
+		r.Demand = append(r.Demand, fleet.Demand{Workspace: name, Rate: b.demand(now), Held: b.rate})
+	}
+	return r
+}
--- /dev/null
+++ b/internal/balance/limits.go
@@ -0,0 +1,155 @@
+package balance
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/fleet"
+)
+
+// bucket is this VM's part of one workspace's rate.
+type bucket struct {
+	rate, burst float64
+	tokens      float64
+	at          time.Time
+	asked       float64 // requests a second, moving average
+	askedAt     time.Time
+}
+
+// burstPart of a workspace's burst is given out; the rest covers shares that
+// move between entry VMs while both use them.
+const burstPart = 0.7
+
+// demandMemory is the time constant of a workspace's demand.
+const demandMemory = time.Second
+
+func (p *Pool) bucketOf(w core.Workspace) *bucket {
+	b := p.buckets[w]
+	if b == nil {
+		b = &bucket{}
+		p.buckets[w] = b
+	}
+	return b
+}
+
+func (b *bucket) setShare(s fleet.Share, now time.Time) {
+	b.refill(now)
+	if b.burst == 0 {
+		b.tokens = s.Burst * burstPart
+	}
+	b.rate, b.burst = s.Rate, max(s.Burst*burstPart, 1)
+	b.tokens = min(b.tokens, b.burst)
+}
+
+func (b *bucket) refill(now time.Time) {
+	if !b.at.IsZero() {
+		b.tokens = min(b.tokens+b.rate*now.Sub(b.at).Seconds(), b.burst)
+	}
+	b.at = now
+}
+
+// ask counts a request for the demand.
+func (b *bucket) ask(now time.Time) {
+	b.asked = b.demand(now) + 1/demandMemory.Seconds()
+	b.askedAt = now
+}
+
+func (b *bucket) demand(now time.Time) float64 {
+	if b.askedAt.IsZero() {
+		return 0
+	}
+	return b.asked * decay2(now.Sub(b.askedAt), demandMemory)
+}
+
+// decay2 is exponential decay, approximated so that it needs no exponential:
+// (1 + x/4)^-4.
+func decay2(age, memory time.Duration) float64 {
+	x := 1 + float64(age)/float64(memory)/4
+	return 1 / (x * x * x * x)
+}
+
+// take takes one token, or returns when there will be one.
+func (b *bucket) take(now time.Time) (wait time.Duration, ok bool) {
+	b.refill(now)
+	if b.tokens >= 1 {
+		b.tokens--
+		return 0, true
+	}
+	if b.rate <= 0 {
+		return time.Second, false
+	}
+	return time.Duration((1 - b.tokens) / b.rate * float64(time.Second)), false
+}
+
+// budget bounds the repeats to one service, as this VM's part of what all may
+// send.
+type budget struct {
+	requests, repeats float64
+	at                time.Time
+}
+
+func (p *Pool) budgetOf(s core.Service, now time.Time) *budget {
+	b := p.budgets[s]
+	if b == nil {
+		b = &budget{at: now}
+		p.budgets[s] = b
+	}
+	d := decay2(now.Sub(b.at), p.bounds.BudgetWindow/2)
+	b.requests, b.repeats, b.at = b.requests*d, b.repeats*d, now
+	return b
+}
+
+// budgetPart of the allowed repeats is used: windows slide, and this VM's part
+// is only estimated.
+const budgetPart = 0.6
+
+func (p *Pool) mayRepeat(s core.Service, now time.Time) bool {
+	b := p.budgetOf(s, now)
+	if p.bounds.BudgetRatio == 0 && p.bounds.BudgetExtra == 0 {
+		return true
+	}
+	allowed := b.requests*p.bounds.BudgetRatio + p.bounds.BudgetExtra/float64(p.entries)/2
+	return b.repeats+1 <= allowed*budgetPart
+}
+
+const (
+	// coldWindow is a little more than the second in which a cold target's
+	// requests are counted, since they travel for unequal times.
+	coldWindow = 1100 * time.Millisecond
+	// coldSenders is how many entry VMs send to a cold target that no keys bind.
+	coldSenders = 3
+)
+
+// coldAllowance is how many requests this VM may send to t in one second while
+// it is cold. A cold target belongs to a few entry VMs, so that their parts are
+// whole requests.
+func (p *Pool) coldAllowance(t *target, keyed bool) int {
+	class, _ := p.state.Catalog.Service(t.Service)
+	if class.ColdRate <= 0 {
+		return 1 << 30
+	}
+	total := int(class.ColdRate*p.bounds.ColdOverage + p.bounds.ColdSlack - 2)
+	senders := min(p.entries, coldSenders)
+	if keyed {
+		senders = min(p.entries, total)
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(t.ID))
+	first := int(h.Sum32() % uint32(p.entries))
+	if (p.place-first+p.entries)%p.entries >= senders {
+		return 0
+	}
+	return max(total/max(senders, 1), 1)
+}
+
+// coldRoom reports whether a cold target may get one more request now.
+func (p *Pool) coldRoom(t *target, keyed bool, now time.Time) bool {
+	if !t.coldUntil.After(now) {
+		return true
+	}
+	for len(t.coldSends) > 0 && now.Sub(t.coldSends[0]) > coldWindow {
+		t.coldSends = t.coldSends[1:]
+	}
+	return len(t.coldSends) < p.coldAllowance(t, keyed)
+}
--- /dev/null
+++ b/internal/balance/task.go
@@ -0,0 +1,199 @@
+package balance
+
+import (
+	"context"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/clock"
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/fleet"
+	"github.com/comfreynotch/comfreynotch/internal/result"
+	"github.com/comfreynotch/comfreynotch/internal/task"
+)
+
+const (
+	mailboxSize  = 8192
+	reviewPeriod = 25 * time.Millisecond // between looks at requests that wait for an owner
+	maxWaiting   = 512                   // requests that wait for an owner
+	reportPeriod = 100 * time.Millisecond
+)
+
+// Task owns the pool of an entry VM.
+type Task struct {
+	mailbox task.Mailbox[message]
+	report  task.Snapshot[fleet.Report]
+	self    core.VM
+	bounds  Bounds
+	seed    uint64
+}
+
+type message interface{ isMessage() }
+
+type (
+	choose struct {
+		Request
+		first bool // the request's first choice: it is charged to its workspace
+		until time.Time
+		reply task.Reply[chosen]
+	}
+	chosen struct {
+		choice  Choice
+		service core.Service
+		err     *result.Error
+	}
+	done          struct{ Outcome }
+	told          struct{ fleet.News }
+	configChanged struct{ state *config.State }
+	cancelled     struct{ reply task.Reply[chosen] }
+)
+
+func (choose) isMessage()        {}
+func (done) isMessage()          {}
+func (told) isMessage()          {}
+func (configChanged) isMessage() {}
+func (cancelled) isMessage()     {}
+
+// NewTask returns a task that is not running yet.
+func NewTask(self core.VM, bounds Bounds, seed uint64) *Task {
+	return &Task{
+		mailbox: task.NewMailbox[message]("balance", mailboxSize),
+		report:  task.NewSnapshot(&fleet.Report{VM: self}),
+		self:    self, bounds: bounds, seed: seed,
+	}
+}
+
+// Report is what this VM tells the leader of the control VMs.
+func (t *Task) Report() fleet.Report { return *t.report.Load() }
+
+// ConfigChanged delivers the configuration in force.
+func (t *Task) ConfigChanged(s *config.State) { _ = t.mailbox.Post(configChanged{s}) }
+
+// Told delivers news of the fleet.
+func (t *Task) Told(ctx context.Context, n fleet.News) { _ = t.mailbox.Send(ctx, told{n}) }
+
+// Done delivers the outcome of a sending; it must not be lost.
+func (t *Task) Done(o Outcome) { _ = t.mailbox.Send(context.Background(), done{o}) }
+
+// Choose admits r, if it was not sent before, and chooses its target. It waits
+// until the given time for the owner of a key. The error has not run.
+func (t *Task) Choose(ctx context.Context, r Request, until time.Time) (Choice, core.Service, *result.Error) {
+	reply := task.NewReply[chosen]()
+	if err := t.mailbox.Post(choose{r, r.Service == "", until, reply}); err != nil {
+		return Choice{}, r.Service, result.From(err)
+	}
+	select {
+	case c := <-reply:
+		return c.choice, c.service, c.err
+	case <-ctx.Done():
+		_ = t.mailbox.Send(context.Background(), cancelled{reply})
+		return Choice{}, r.Service, result.New(result.CallerGone, "the caller left while its request waited")
+	}
+}
+
+// run is the state of one run of the task.
+type run struct {
+	*Task
+	pool    *Pool
+	ticket  uint64
+	waiting []choose
+}
+
+// Serve runs the task until ctx ends.
+func (t *Task) Serve(ctx context.Context) error {
+	r := &run{Task: t, pool: NewPool(t.bounds, t.seed)}
+	review := time.NewTicker(reviewPeriod)
+	defer review.Stop()
+	ticks := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-review.C:
+			r.review()
+			if ticks++; ticks%int(reportPeriod/reviewPeriod) == 0 {
+				report := r.pool.Report(t.self, clock.Now())
+				t.report.Publish(&report)
+			}
+		case m := <-t.mailbox.C():
+			r.handle(m)
+		}
+	}
+}
+
+func (r *run) handle(m message) {
+	switch m := m.(type) {
+	case choose:
+		r.choose(m)
+	case done:
+		r.pool.Done(m.Outcome)
+	case told:
+		r.pool.Told(m.News, clock.Now())
+		r.review()
+	case configChanged:
+		r.pool.ConfigChanged(m.state)
+		r.review()
+	case cancelled:
+		r.cancel(m.reply)
+	}
+}
+
+func (r *run) choose(m choose) {
+	now := clock.Now()
+	if m.first {
+		m.Service = r.pool.Split(m.Route)
+		if err := r.pool.Admit(m.Request, now); err != nil {
+			m.reply.Answer(chosen{service: m.Service, err: err})
+			return
+		}
+	} else if len(m.Tried) > 0 && !r.pool.Repeat(m.Service, now) {
+		m.reply.Answer(chosen{service: m.Service, err: result.New(result.RetryBudgetSpent, "service %s", m.Service)})
+		return
+	}
+	if !r.decide(m, now) {
+		r.waiting = append(r.waiting, m)
+	}
+}
+
+// decide answers m unless it goes on waiting.
+func (r *run) decide(m choose, now time.Time) bool {
+	r.ticket++
+	choice, wait, err := r.pool.Choose(m.Request, r.ticket, now)
+	if err != nil && wait && now.Before(m.until) && len(r.waiting) < maxWaiting {
+		return false
+	}
+	m.reply.Answer(chosen{choice, m.Service, err})
+	return true
+}
+
+func (r *run) review() {
+	if len(r.waiting) == 0 {
+		return
+	}
+	now := clock.Now()
+	waiting := r.waiting
+	r.waiting = nil
+	for _, m := range waiting {
+		if !r.decide(m, now) {
+			r.waiting = append(r.waiting, m)
+		}
+	}
+}
+
+// cancel ends a question whose asker left. If it was answered already, its
+// request counts at a target and is taken back.
+func (r *run) cancel(reply task.Reply[chosen]) {
+	for i, m := range r.waiting {
+		if m.reply == reply {
+			r.waiting = append(r.waiting[:i], r.waiting[i+1:]...)
+			return
+		}
+	}
+	select {
+	case c := <-reply:
+		if c.err == nil {
+			r.pool.Done(Outcome{Ticket: c.choice.Ticket, Target: c.choice.Target.ID, Life: c.choice.Target.Incarnation, At: clock.Now()})
+		}
+	default:
+	}
+}
--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -19,7 +19,7 @@
 	Digest    Digest    // of Change, the same on every replica; it tells a resend from another change
 }
 
-// Change is one of the Put and Delete types of this package.
+// Change is one of the types with an apply method of this package.
 type Change interface {
 	// apply edits next, a copy of the state whose maps may be written. It checks
 	// all that it needs before its first edit: after an error next is unchanged.
@@ -138,6 +138,9 @@
 		Services:    maps.Clone(s.Services),
 		Homes:       maps.Clone(s.Homes),
 		Drained:     maps.Clone(s.Drained),
+		Catalog:     s.Catalog,
+		Evacuated:   maps.Clone(s.Evacuated),
+		Keys:        maps.Clone(s.Keys),
 		Answered:    s.Answered.clone(),
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -104,7 +104,10 @@
 	CallerKeys  map[KeyHash]CallerKey
 	Services    map[core.Service]Service
 	Homes       map[core.Service]ShardHomes
-	Drained     map[core.TargetID]bool // targets that operators drain
+	Drained     map[core.TargetID]bool    // targets that operators drain
+	Catalog     *Catalog                  // routes, workspaces and services that are changed item by item
+	Evacuated   map[core.DataCentre]bool  // data centres whose targets get no new work
+	Keys        map[core.Service]KeyTable // owners of the keys of keyed services
 	Answered    Answers
 }
 
@@ -119,6 +122,9 @@
 		Services:    map[core.Service]Service{},
 		Homes:       map[core.Service]ShardHomes{},
 		Drained:     map[core.TargetID]bool{},
+		Catalog:     newCatalog(),
+		Evacuated:   map[core.DataCentre]bool{},
+		Keys:        map[core.Service]KeyTable{},
 		Answered:    newAnswers(),
 	}
 }
--- a/internal/configjson/configjson.go
+++ b/internal/configjson/configjson.go
@@ -30,6 +30,9 @@
 	config.DrainTarget{},
 	config.AgreeHomeMove{},
 	config.ConfirmCell{},
+	config.PatchCatalog{},
+	config.SetEvacuated{},
+	config.AssignKeys{},
 )
 
 func byName(values ...config.Change) map[string]reflect.Type {
--- a/internal/configsync/task.go
+++ b/internal/configsync/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/comfreynotch/comfreynotch/internal/clock"
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/result"
@@ -125,7 +126,8 @@
 		case <-ctx.Done():
 			t.answerWaiters(func(waiter) bool { return true })
 			return ctx.Err()
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := clock.Now()
 			t.answerWaiters(func(w waiter) bool { return now.After(w.until) })
 		case m := <-t.mailbox.C():
 			switch m := m.(type) {
@@ -167,7 +169,7 @@
 		q.reply.Answer(t.answer(q.Version))
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	t.waiters = append(t.waiters, waiter{q.Version, now, now.Add(min(q.Hold, maxHold)), q.reply})
 }
 
@@ -176,7 +178,7 @@
 	for _, w := range t.waiters {
 		if due(w) {
 			a := t.answer(w.version)
-			a.Held = time.Since(w.asked)
+			a.Held = clock.Since(w.asked)
 			w.reply.Answer(a)
 			continue
 		}
@@ -194,7 +196,7 @@
 	}
 	a := Answer{Version: t.newest.Version}
 	if !t.confirmedAt.IsZero() {
-		a.Proved, a.Age = true, time.Since(t.confirmedAt)
+		a.Proved, a.Age = true, clock.Since(t.confirmedAt)
 	}
 	if version >= t.newest.Version {
 		return a
--- a/internal/configsync/task_poll.go
+++ b/internal/configsync/task_poll.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"time"
 
+	"github.com/comfreynotch/comfreynotch/internal/clock"
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/result"
@@ -30,10 +31,10 @@
 type Poller struct {
 	Self        core.VM
 	Cell        core.Cell
-	Voters      []string       // inner addresses, from the settings
-	First       *config.State  // cells known from the settings; may be nil
-	Coordinator func() core.VM // of the cell, empty if unknown
-	Votes       bool           // the daemon holds a replica of the registry, which comes first
+	Voters      func() []string // inner addresses of the registry's members
+	First       *config.State   // cells known from the settings; may be nil
+	Coordinator func() core.VM  // of the cell, empty if unknown
+	Votes       bool            // the daemon holds a replica of the registry, which comes first
 	Task        *Task
 	Client      Client
 }
@@ -58,7 +59,7 @@
 
 // poll asks one source and returns how long to wait before the next.
 func (r *pollRun) poll(ctx context.Context) time.Duration {
-	if r.Votes && time.Since(r.Task.ConfirmedAt()) < maxAge {
+	if r.Votes && clock.Since(r.Task.ConfirmedAt()) < maxAge {
 		return votesPause
 	}
 	if current := r.Task.Current(); current.Version > r.state.Version {
@@ -68,8 +69,8 @@
 	if known.Version == 0 && r.First != nil {
 		known = r.First
 	}
-	sources := sourcesOf(known, r.Self, r.Cell, r.Coordinator(), r.Voters)
-	now := time.Now()
+	sources := sourcesOf(known, r.Self, r.Cell, r.Coordinator(), r.Voters())
+	now := clock.Now()
 	source, ok := r.choice.source(sources, now)
 	if !ok {
 		return failurePause
@@ -85,7 +86,7 @@
 		err = r.take(source, a, now)
 	}
 	if err != nil || !r.confirmed || !isFresh(a, provedAt(a, now)) {
-		r.choice.next(time.Now())
+		r.choice.next(clock.Now())
 	}
 	switch {
 	case err != nil || a.Version == 0:
@@ -99,7 +100,7 @@
 
 // isFresh reports whether the proof behind an answer is young enough.
 func isFresh(a Answer, provedAt time.Time) bool {
-	return a.Proved && time.Since(provedAt) < maxAge
+	return a.Proved && clock.Since(provedAt) < maxAge
 }
 
 // provedAt is a time, by this daemon's clock, at which the proof behind an
--- a/internal/configsync/task_test.go
+++ b/internal/configsync/task_test.go
@@ -91,7 +91,7 @@
 	ctx, cancel := context.WithCancel(f.running)
 	t := configsync.NewTask(codec, func(*config.State) {})
 	p := &configsync.Poller{
-		Self: core.VM(name), Cell: "c", Voters: []string{"registry"}, First: f.state,
+		Self: core.VM(name), Cell: "c", Voters: func() []string { return []string{"registry"} }, First: f.state,
 		Coordinator: func() core.VM { return "d0" }, Task: t, Client: client{f, name},
 	}
 	f.mu.Lock()
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -49,7 +49,7 @@
 		c.replica = replica
 	}
 	c.poller = &configsync.Poller{
-		Self: c.self.VM, Cell: core.Cell(s.Cell), Voters: c.voters, First: d.firstKnown(),
+		Self: c.self.VM, Cell: core.Cell(s.Cell), Voters: func() []string { return c.voters }, First: d.firstKnown(),
 		Coordinator: d.cell.Coordinator,
 		Votes:       c.replica != nil, Task: c.copy, Client: c.client,
 	}
--- /dev/null
+++ b/internal/fleet/shares.go
@@ -0,0 +1,147 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+)
+
+// entryTTL is how long an entry VM that does not report keeps its shares.
+const entryTTL = 5 * time.Second
+
+// Demand is what an entry VM says of one workspace.
+type Demand struct {
+	Workspace core.Workspace
+	Rate      float64 // requests a second that callers asked for lately
+	Held      float64 // requests a second that the entry VM may admit now
+}
+
+// KeyHeat is how many requests for one key an entry VM got lately.
+type KeyHeat struct {
+	Service core.Service
+	Key     uint32
+	Busy    float64 // seconds of work a second
+}
+
+// Report is what an entry VM says of itself.
+type Report struct {
+	VM     core.VM
+	Demand []Demand
+	Heat   []KeyHeat
+}
+
+// Share is the part of a workspace's rate that one entry VM may admit.
+type Share struct {
+	Workspace core.Workspace
+	Rate      float64 // requests a second
+	Burst     float64 // requests
+}
+
+// entry is an entry VM as the leader knows it.
+type entry struct {
+	heardAt time.Time
+	demand  map[core.Workspace]float64
+	granted map[core.Workspace]float64
+}
+
+// Reported takes a report and returns the sender's shares, the number of entry
+// VMs that report, and the sender's place among them.
+func (b *Book) Reported(r Report, s *config.State, now time.Time) (shares []Share, entries, place int) {
+	e := b.entries[r.VM]
+	if e == nil {
+		e = &entry{granted: map[core.Workspace]float64{}}
+		b.entries[r.VM] = e
+	}
+	e.heardAt = now
+	e.demand = map[core.Workspace]float64{}
+	for _, d := range r.Demand {
+		e.demand[d.Workspace] = d.Rate
+		if _, ok := e.granted[d.Workspace]; !ok {
+			e.granted[d.Workspace] = d.Held // granted by a leader before this one
+		}
+	}
+	b.addHeat(r, now)
+	for _, t := range s.Catalog.Tenants {
+		if !t.Dropped && t.Rate > 0 {
+			shares = append(shares, b.share(e, t))
+		}
+	}
+	slices.SortFunc(shares, func(x, y Share) int { return cmp.Compare(x.Workspace, y.Workspace) })
+	names := make([]core.VM, 0, len(b.entries))
+	for vm := range b.entries {
+		names = append(names, vm)
+	}
+	slices.Sort(names)
+	return shares, len(names), slices.Index(names, r.VM)
+}
+
+// share divides a workspace's rate by demand, and what no demand needs evenly.
+// It gives out only what the other entry VMs do not hold: they give back first.
+func (b *Book) share(e *entry, t config.Tenancy) Share {
+	var demand, others float64
+	for _, o := range b.entries {
+		demand += o.demand[t.Name]
+		if o != e {
+			others += o.granted[t.Name]
+		}
+	}
+	n := float64(len(b.entries))
+	var fair float64
+	if demand <= t.Rate {
+		fair = e.demand[t.Name] + (t.Rate-demand)/n
+	} else {
+		// A small part is divided evenly, so that a caller who arrives at an
+		// entry VM without any finds some there.
+		const evenPart = 0.1
+		fair = t.Rate * (evenPart/n + (1-evenPart)*e.demand[t.Name]/demand)
+	}
+	rate := min(fair, max(t.Rate-others, 0))
+	e.granted[t.Name] = rate
+	return Share{Workspace: t.Name, Rate: rate, Burst: t.Burst * rate / t.Rate}
+}
+
+func (b *Book) expireEntries(now time.Time) {
+	for vm, e := range b.entries {
+		if now.Sub(e.heardAt) > entryTTL {
+			delete(b.entries, vm)
+		}
+	}
+}
+
+// heat is how busy the keys of one service are, as all entry VMs report it.
+type heat struct {
+	busy map[uint32]float64
+	at   time.Time
+}
+
+// heatHalfLife is after how long a report counts for half.
+const heatHalfLife = 2 * time.Second
+
+func (b *Book) addHeat(r Report, now time.Time) {
+	for _, k := range r.Heat {
+		h := b.heat[k.Service]
+		if h == nil {
+			h = &heat{busy: map[uint32]float64{}, at: now}
+			b.heat[k.Service] = h
+		}
+		h.busy[k.Key] += k.Busy
+	}
+}
+
+// heatOf is the load that a range of keys causes, in busy slots.
+func (b *Book) heatOf(service core.Service, r config.KeyRange) float64 {
+	h := b.heat[service]
+	if h == nil {
+		return 0
+	}
+	sum := 0.0
+	for key, busy := range h.busy {
+		if r.Contains(key) {
+			sum += busy
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/fleet/task.go
@@ -0,0 +1,299 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/clock"
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/leadership"
+	"github.com/comfreynotch/comfreynotch/internal/result"
+	"github.com/comfreynotch/comfreynotch/internal/task"
+)
+
+const (
+	mailboxSize = 4096
+	planPeriod  = 50 * time.Millisecond
+	// pushDelay gathers changes of targets before entry VMs are told.
+	pushDelay = 10 * time.Millisecond
+	// MaxHold is the longest time that the answer to a report waits for news.
+	MaxHold = 500 * time.Millisecond
+)
+
+// News is the answer to a report: what changed since the news before.
+type News struct {
+	Term     uint64
+	Sequence uint64
+	Leader   core.VM // another VM leads; nothing else is set
+	Targets  []TargetState
+	Shares   []Share
+	Entries  int       // entry VMs that report
+	Place    int       // of the asker among them
+	Control  []core.VM // control VMs
+}
+
+// Question is a report and what its sender knows already.
+type Question struct {
+	Report
+	Term, Sequence uint64
+	Hold           time.Duration
+}
+
+// Options are the parts of a Task.
+type Options struct {
+	Terms   Terms
+	State   func() *config.State     // newest proved state of this replica
+	Tenure  func() leadership.Tenure // of the registry's lead
+	Propose func(ctx context.Context, c config.Command) (*config.State, error)
+	Control func(ctx context.Context) []core.VM // members of the registry
+	Record  func(event string, fields ...any)   // one line of the log; must not wait
+}
+
+// Task owns the book on a control VM. Only the leader's answers.
+type Task struct {
+	options Options
+	mailbox task.Mailbox[message]
+}
+
+type message interface{ isMessage() }
+
+type (
+	heartbeat struct {
+		Heartbeat
+		reply task.Reply[heartbeatAnswer]
+	}
+	heartbeatAnswer struct {
+		grant Grant
+		err   error
+	}
+	farewell struct {
+		id    core.TargetID
+		life  core.Incarnation
+		reply task.Reply[error]
+	}
+	question struct {
+		Question
+		reply task.Reply[News]
+	}
+	settled struct {
+		term   uint64
+		change config.AssignKeys
+		err    error
+	}
+)
+
+func (heartbeat) isMessage() {}
+func (farewell) isMessage()  {}
+func (question) isMessage()  {}
+func (settled) isMessage()   {}
+
+// NotLeading says that another control VM leads, or that none does for certain.
+type NotLeading struct{ Leader core.VM }
+
+// Error implements error.
+func (e NotLeading) Error() string { return "VM " + string(e.Leader) + " leads" }
+
+// NewTask returns a task that is not running yet.
+func NewTask(o Options) *Task {
+	return &Task{options: o, mailbox: task.NewMailbox[message]("fleet", mailboxSize)}
+}
+
+// Heartbeat hands over what a target says and returns what it is to hold. The
+// error is NotLeading where another VM must be asked.
+func (t *Task) Heartbeat(ctx context.Context, h Heartbeat) (Grant, error) {
+	a, err := task.Ask(ctx, t.mailbox, func(r task.Reply[heartbeatAnswer]) message { return heartbeat{h, r} })
+	if err != nil {
+		return Grant{}, err
+	}
+	return a.grant, a.err
+}
+
+// Farewell hands over that a target ends.
+func (t *Task) Farewell(ctx context.Context, id core.TargetID, life core.Incarnation) error {
+	left, err := task.Ask(ctx, t.mailbox, func(r task.Reply[error]) message { return farewell{id, life, r} })
+	if err != nil {
+		return err
+	}
+	return left
+}
+
+// Ask returns news for an entry VM, at once or when there is some.
+func (t *Task) Ask(ctx context.Context, q Question) (News, error) {
+	return task.Ask(ctx, t.mailbox, func(r task.Reply[News]) message { return question{q, r} })
+}
+
+// run is the state of one run of the task.
+type run struct {
+	*Task
+	book    *Book
+	waiters []waiter
+	push    *time.Timer
+	pushing bool
+	pushed  uint64
+	control []core.VM
+}
+
+type waiter struct {
+	question
+	until time.Time
+}
+
+// Serve runs the task until ctx ends.
+func (t *Task) Serve(ctx context.Context) error {
+	r := &run{Task: t, book: NewBook(t.options.Terms), push: time.NewTimer(time.Hour)}
+	defer r.push.Stop()
+	ticker := time.NewTicker(planPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.answer(func(waiter) bool { return true })
+			return ctx.Err()
+		case <-ticker.C:
+			r.tick(ctx)
+		case <-r.push.C:
+			r.pushing = false
+			r.answer(func(waiter) bool { return true })
+		case m := <-t.mailbox.C():
+			r.handle(m)
+			r.schedulePush()
+		}
+	}
+}
+
+// leads reports whether this VM leads for certain, and begins its tenure.
+func (r *run) leads() bool {
+	tenure := r.options.Tenure()
+	now := clock.Now()
+	if !tenure.Live(now) {
+		return false
+	}
+	if r.book.Term() != tenure.Term {
+		r.book.Begin(tenure.Term, now)
+		r.pushed = r.book.Sequence()
+		r.options.Record("tenure began", "term", tenure.Term)
+	}
+	return true
+}
+
+func (r *run) tick(ctx context.Context) {
+	now := clock.Now()
+	if r.leads() {
+		r.book.Expire(now)
+		for _, change := range r.book.Plan(r.options.State(), now) {
+			r.propose(ctx, change)
+		}
+		r.control = r.options.Control(ctx)
+		r.schedulePush()
+	}
+	r.answer(func(w waiter) bool { return now.After(w.until) })
+}
+
+// propose asks the registry for a change of owners, in a goroutine that ends
+// with the answer.
+func (r *run) propose(ctx context.Context, change config.AssignKeys) {
+	term := r.book.Term()
+	r.options.Record("keys get owners", "service", change.Service, "ranges", len(change.Ranges), "term", term)
+	go func() {
+		_, err := r.options.Propose(ctx, config.Command{Change: change, At: time.Now()})
+		_ = r.mailbox.Send(ctx, settled{term, change, err}) // fails only when the task ends
+	}()
+}
+
+func (r *run) handle(m message) {
+	switch m := m.(type) {
+	case heartbeat:
+		m.reply.Answer(r.heard(m.Heartbeat))
+	case farewell:
+		if !r.leads() {
+			m.reply.Answer(NotLeading{r.options.Tenure().Leader})
+			return
+		}
+		r.book.Left(m.id, m.life)
+		r.options.Record("target left", "target", m.id)
+		m.reply.Answer(nil)
+	case question:
+		r.ask(m)
+	case settled:
+		r.settle(m)
+	}
+}
+
+// settle takes the outcome of a proposal. One that may have been accepted
+// stays pending: its keys are granted to nobody before the next tenure.
+func (r *run) settle(m settled) {
+	if m.err != nil {
+		r.options.Record("change of owners failed", "service", m.change.Service, "err", m.err)
+	}
+	if m.term == r.book.Term() && (m.err == nil || result.From(m.err).Ran == result.NotRun) {
+		r.book.Settled(m.change)
+	}
+}
+
+func (r *run) heard(h Heartbeat) heartbeatAnswer {
+	if !r.leads() {
+		return heartbeatAnswer{err: NotLeading{r.options.Tenure().Leader}}
+	}
+	now := clock.Now()
+	known := r.book.targets[h.Target.ID]
+	if known == nil || known.Leaving != h.Target.Leaving || known.Incarnation != h.Target.Incarnation {
+		r.options.Record("target", "target", h.Target.ID, "service", h.Target.Service, "address", h.Target.Address,
+			"life", h.Target.Incarnation, "leaving", h.Target.Leaving, "cold_ms", h.ColdFor.Milliseconds())
+	}
+	grant, ok := r.book.Heard(h, r.options.State(), now)
+	if !ok {
+		return heartbeatAnswer{err: result.New(result.VersionConflict, "target %s sent a newer heartbeat", h.Target.ID)}
+	}
+	return heartbeatAnswer{grant: grant}
+}
+
+func (r *run) ask(q question) {
+	if !r.leads() {
+		q.reply.Answer(News{Leader: r.options.Tenure().Leader})
+		return
+	}
+	if q.Term != r.book.Term() || q.Sequence < r.pushed || q.Hold <= 0 {
+		q.reply.Answer(r.news(q.Question))
+		return
+	}
+	r.waiters = append(r.waiters, waiter{q, clock.Now().Add(min(q.Hold, MaxHold))})
+}
+
+func (r *run) schedulePush() {
+	if r.book.Sequence() != r.pushed && !r.pushing {
+		r.pushing = true
+		r.push.Reset(pushDelay)
+	}
+}
+
+// answer answers the waiting reports that are due.
+func (r *run) answer(due func(waiter) bool) {
+	if !r.leads() {
+		for _, w := range r.waiters {
+			w.reply.Answer(News{Leader: r.options.Tenure().Leader})
+		}
+		r.waiters = nil
+		return
+	}
+	kept := r.waiters[:0]
+	for _, w := range r.waiters {
+		if due(w) {
+			w.reply.Answer(r.news(w.Question))
+		} else {
+			kept = append(kept, w)
+		}
+	}
+	clear(r.waiters[len(kept):])
+	r.waiters = kept
+}
+
+func (r *run) news(q Question) News {
+	now := clock.Now()
+	shares, entries, place := r.book.Reported(q.Report, r.options.State(), now)
+	r.pushed = r.book.Sequence()
+	return News{
+		Term: r.book.Term(), Sequence: r.book.Sequence(), Targets: r.book.Changed(q.Term, q.Sequence, now),
+		Shares: shares, Entries: entries, Place: place, Control: r.control,
+	}
+}
--- /dev/null
+++ b/internal/fleet/task_follow.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/core"
+)
+
+const (
+	askTimeout  = 1200 * time.Millisecond // MaxHold and a slow network
+	failurePace = 100 * time.Millisecond  // between questions that fail
+)
+
+// Client asks the control VM at an inner address.
+type Client interface {
+	Ask(ctx context.Context, address string, q Question) (News, error)
+}
+
+// Follower is the task that keeps an entry VM's knowledge of the fleet young.
+type Follower struct {
+	Self    core.VM
+	Seeds   func() []string // inner addresses from the settings
+	Client  Client
+	Report  func() Report // asked before each question; must not wait
+	Deliver func(News)    // must not wait
+	Record  func(event string, fields ...any)
+}
+
+// AddressOf returns the inner address of a control VM. Its name is the address,
+// and a suffix that tells apart VMs that had the same address one after the
+// other.
+func AddressOf(vm core.VM) string {
+	address, _, _ := strings.Cut(string(vm), "#")
+	return address
+}
+
+// follow is the state of one run of a Follower.
+type follow struct {
+	*Follower
+	term, sequence uint64
+	leader         string   // inner address; empty: unknown
+	control        []string // inner addresses as the newest leader told them
+	place          int
+	lost           bool
+}
+
+// Serve asks until ctx ends.
+func (f *Follower) Serve(ctx context.Context) error {
+	run := follow{Follower: f}
+	for ctx.Err() == nil {
+		if run.ask(ctx) {
+			continue
+		}
+		pause := time.NewTimer(failurePace)
+		select {
+		case <-ctx.Done():
+		case <-pause.C:
+		}
+		pause.Stop()
+	}
+	return ctx.Err()
+}
+
+// ask puts one question and reports whether the next may follow at once.
+func (f *follow) ask(ctx context.Context) bool {
+	address := f.leader
+	if address == "" {
+		known := append(append([]string(nil), f.control...), f.Seeds()...)
+		if len(known) == 0 {
+			return false
+		}
+		f.place++
+		address = known[f.place%len(known)]
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	q := Question{Report: f.Report(), Term: f.term, Sequence: f.sequence, Hold: MaxHold}
+	news, err := f.Client.Ask(ctx, address, q)
+	switch {
+	case err != nil:
+		f.lose(address, err.Error())
+		return false
+	case news.Leader != "":
+		next := AddressOf(news.Leader)
+		again := next == address // it leads, but not for certain yet
+		f.leader = next
+		return !again
+	case news.Term == 0:
+		f.lose(address, "no leader is known there")
+		return false
+	}
+	if f.lost || f.term != news.Term {
+		f.lost = false
+		f.Record("leader answers", "address", address, "term", news.Term)
+	}
+	f.leader = address
+	f.term, f.sequence = news.Term, news.Sequence
+	f.control = f.control[:0]
+	for _, vm := range news.Control {
+		f.control = append(f.control, AddressOf(vm))
+	}
+	f.Deliver(news)
+	return true
+}
+
+func (f *follow) lose(address, why string) {
+	if !f.lost {
+		f.lost = true
+		f.Record("leader lost", "address", address, "why", why)
+	}
+	f.leader = ""
+}
--- /dev/null
+++ b/internal/innerproto/fleet.go
@@ -0,0 +1,112 @@
+package innerproto
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/fleet"
+	"github.com/comfreynotch/comfreynotch/internal/innerproto/innerpb"
+)
+
+// FleetPath is the path prefix of FleetHandler on the inner listener.
+const FleetPath = innerpb.FleetPathPrefix
+
+// Reported answers the reports of entry VMs.
+type Reported interface {
+	Ask(ctx context.Context, q fleet.Question) (fleet.News, error)
+}
+
+type fleetServer struct{ reported Reported }
+
+// FleetHandler serves entry VMs.
+func FleetHandler(r Reported) http.Handler { return innerpb.NewFleetServer(fleetServer{r}) }
+
+// Report answers a long poll.
+func (s fleetServer) Report(ctx context.Context, r *innerpb.FleetReport) (*innerpb.FleetNews, error) {
+	q := fleet.Question{
+		Report: fleet.Report{VM: core.VM(r.GetVm())},
+		Term:   r.GetTerm(), Sequence: r.GetSequence(), Hold: time.Duration(r.GetHoldMicros()) * time.Microsecond,
+	}
+	for _, d := range r.GetDemand() {
+		q.Demand = append(q.Demand, fleet.Demand{Workspace: core.Workspace(d.GetWorkspace()), Rate: d.GetRate(), Held: d.GetHeld()})
+	}
+	for _, k := range r.GetHeat() {
+		q.Heat = append(q.Heat, fleet.KeyHeat{Service: core.Service(k.GetService()), Key: k.GetKey(), Busy: k.GetBusy()})
+	}
+	n, err := s.reported.Ask(ctx, q)
+	if err != nil {
+		return nil, resultToTwirp(err)
+	}
+	return newsToWire(n), nil
+}
+
+func newsToWire(n fleet.News) *innerpb.FleetNews {
+	w := &innerpb.FleetNews{
+		Term: n.Term, Sequence: n.Sequence, Leader: string(n.Leader), Entries: uint32(n.Entries), Place: uint32(n.Place),
+	}
+	for _, vm := range n.Control {
+		w.Control = append(w.Control, string(vm))
+	}
+	for _, t := range n.Targets {
+		w.Targets = append(w.Targets, &innerpb.FleetTarget{
+			Id: string(t.ID), Life: uint64(t.Incarnation), Service: string(t.Service), Address: t.Address,
+			DataCentre: string(t.DataCentre), Slots: uint32(t.Slots), Leaving: t.Leaving, Gone: t.Gone,
+			ColdMicros: uint64(t.ColdFor.Microseconds()), Granted: uint64(t.Granted),
+		})
+	}
+	for _, s := range n.Shares {
+		w.Shares = append(w.Shares, &innerpb.WorkspaceShare{Workspace: string(s.Workspace), Rate: s.Rate, Burst: s.Burst})
+	}
+	return w
+}
+
+// FleetClient asks the control VMs for news.
+type FleetClient struct{ client *http.Client }
+
+// NewFleetClient returns a client that sends through transport.
+func NewFleetClient(transport http.RoundTripper) *FleetClient {
+	return &FleetClient{&http.Client{Transport: transport}}
+}
+
+// Ask puts a question to the control VM at an inner address.
+func (c *FleetClient) Ask(ctx context.Context, address string, q fleet.Question) (fleet.News, error) {
+	r := &innerpb.FleetReport{
+		Vm: string(q.VM), Term: q.Term, Sequence: q.Sequence, HoldMicros: uint64(q.Hold.Microseconds()),
+	}
+	for _, d := range q.Demand {
+		r.Demand = append(r.Demand, &innerpb.WorkspaceDemand{Workspace: string(d.Workspace), Rate: d.Rate, Held: d.Held})
+	}
+	for _, k := range q.Heat {
+		r.Heat = append(r.Heat, &innerpb.ShardHeat{Service: string(k.Service), Key: k.Key, Busy: k.Busy})
+	}
+	w, err := innerpb.NewFleetProtobufClient("http://"+address, c.client).Report(ctx, r)
+	if err != nil {
+		return fleet.News{}, resultFromTwirp(err)
+	}
+	return newsFromWire(w), nil
+}
+
+func newsFromWire(w *innerpb.FleetNews) fleet.News {
+	n := fleet.News{
+		Term: w.GetTerm(), Sequence: w.GetSequence(), Leader: core.VM(w.GetLeader()),
+		Entries: int(w.GetEntries()), Place: int(w.GetPlace()),
+	}
+	for _, vm := range w.GetControl() {
+		n.Control = append(n.Control, core.VM(vm))
+	}
+	for _, t := range w.GetTargets() {
+		n.Targets = append(n.Targets, fleet.TargetState{
+			Target: core.Target{
+				ID: core.TargetID(t.GetId()), Incarnation: core.Incarnation(t.GetLife()), Service: core.Service(t.GetService()),
+				Address: t.GetAddress(), DataCentre: core.DataCentre(t.GetDataCentre()), Slots: int(t.GetSlots()), Leaving: t.GetLeaving(),
+			},
+			Gone: t.GetGone(), ColdFor: time.Duration(t.GetColdMicros()) * time.Microsecond, Granted: core.Version(t.GetGranted()),
+		})
+	}
+	for _, s := range w.GetShares() {
+		n.Shares = append(n.Shares, fleet.Share{Workspace: core.Workspace(s.GetWorkspace()), Rate: s.GetRate(), Burst: s.GetBurst()})
+	}
+	return n
+}
--- a/internal/innerproto/innerpb/load.twirp.go
+++ b/internal/innerproto/innerpb/load.twirp.go
@@ -503,7 +503,7 @@
 }
 
 func (s *loadServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *loadServer) ProtocGenTwirpVersion() string {
@@ -517,7 +517,7 @@
 	return baseServicePath(s.pathPrefix, "comfreynotch.inner", "Load")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 347 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x92, 0xcf, 0x4b, 0xc3, 0x30,
 	0x14, 0xc7, 0xe9, 0x8f, 0x75, 0xee, 0x4d, 0x41, 0x82, 0x48, 0x50, 0xd4, 0x5a, 0x3c, 0xf4, 0xd4,
--- a/internal/innerproto/innerpb/quota.twirp.go
+++ b/internal/innerproto/innerpb/quota.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *quotaServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 0
+	return twirpFileDescriptor5, 0
 }
 
 func (s *quotaServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "comfreynotch.inner", "Quota")
 }
 
-var twirpFileDescriptor4 = []byte{
+var twirpFileDescriptor5 = []byte{
 	// 448 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x93, 0xd1, 0x8b, 0xd3, 0x40,
 	0x10, 0xc6, 0xc9, 0x35, 0xa9, 0x66, 0x62, 0x45, 0x16, 0x91, 0x20, 0xea, 0xc5, 0x80, 0x90, 0x07,
--- a/internal/innerproto/innerpb/registry.twirp.go
+++ b/internal/innerproto/innerpb/registry.twirp.go
@@ -1619,7 +1619,7 @@
 }
 
 func (s *registryServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor5, 0
+	return twirpFileDescriptor6, 0
 }
 
 func (s *registryServer) ProtocGenTwirpVersion() string {
@@ -1633,7 +1633,7 @@
 	return baseServicePath(s.pathPrefix, "comfreynotch.inner", "Registry")
 }
 
-var twirpFileDescriptor5 = []byte{
+var twirpFileDescriptor6 = []byte{
 	// 853 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x56, 0xcd, 0x8e, 0xe3, 0x44,
 	0x10, 0x96, 0x93, 0x4c, 0xec, 0x54, 0x92, 0x01, 0x35, 0xab, 0x95, 0x19, 0xb4, 0x4c, 0xd6, 0x48,
--- a/internal/innerproto/registry_test.go
+++ b/internal/innerproto/registry_test.go
@@ -82,7 +82,7 @@
 		run(t, n.copy.Serve)
 		if i >= 3 {
 			p := &configsync.Poller{
-				Self: n.self.VM, Voters: []string{nodes[0].self.Address}, Task: n.copy, Client: client,
+				Self: n.self.VM, Voters: func() []string { return []string{nodes[0].self.Address} }, Task: n.copy, Client: client,
 				Coordinator: func() core.VM { return "" },
 			}
 			run(t, p.Serve)
--- a/internal/leadership/task.go
+++ b/internal/leadership/task.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/comfreynotch/comfreynotch/internal/clock"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
@@ -64,7 +65,7 @@
 	if before.Leader != t.keeper.self {
 		return
 	}
-	askedAt := time.Now()
+	askedAt := clock.Now()
 	if t.registry.Confirm(ctx) != nil {
 		return
 	}
@@ -80,7 +81,7 @@
 }
 
 func (t *Task) see(s Status) {
-	t.keeper.seen(s, time.Now())
+	t.keeper.seen(s, clock.Now())
 	t.publish()
 }
 
--- a/internal/registry/task_read.go
+++ b/internal/registry/task_read.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/comfreynotch/comfreynotch/internal/clock"
 	"github.com/comfreynotch/comfreynotch/internal/raft"
 	"github.com/comfreynotch/comfreynotch/internal/result"
 	"github.com/comfreynotch/comfreynotch/internal/task"
@@ -55,7 +56,7 @@
 // take now is asked again by tick.
 func (r *replica) ask(reply task.Reply[answer]) uint64 {
 	r.readID++
-	r.reads[r.readID] = &read{asked: time.Now(), reply: reply}
+	r.reads[r.readID] = &read{asked: clock.Now(), reply: reply}
 	_ = r.core.Read(r.readID, r.reads[r.readID].lazy())
 	return r.readID
 }
