Forget releases of a range that is granted again; size quota reserves by the window

Ruled out: stale tables at entry VMs (the targets themselves held the range).

Change: granting forgets proofs of release; a target that failed and answers again is on probation with the cold allowance; buckets together hold what the quota's window leaves.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -16,13 +16,12 @@
 
 // Bounds are what the deployment allows over all entry VMs.
 type Bounds struct {
-	ColdOverage    float64 // a cold target bears its rate times this, and ColdSlack, in any second
-	ColdSlack      float64
-	BudgetRatio    float64 // repeats for each request, in any BudgetWindow
-	BudgetExtra    float64 // repeats beyond that
-	BudgetWindow   time.Duration
-	MaxProofAge    time.Duration // requests with a caller key need a configuration confirmed as lately
-	EvacuatedAsNew bool
+	ColdOverage  float64 // a cold target bears its rate times this, and ColdSlack, in any second
+	ColdSlack    float64
+	BudgetRatio  float64 // repeats for each request, in any BudgetWindow
+	BudgetExtra  float64 // repeats beyond that
+	BudgetWindow time.Duration
+	MaxProofAge  time.Duration // requests with a caller key need a configuration confirmed as lately
 }
 
 // Pool is what an entry VM knows of all targets. Its owner alone calls it.
@@ -51,8 +50,16 @@
 	}
 }
 
-// ConfigChanged takes the configuration in force.
-func (p *Pool) ConfigChanged(s *config.State) { p.state = s }
+// ConfigChanged takes the configuration in force. Targets of a data centre that
+// is taken back may have become cold meanwhile.
+func (p *Pool) ConfigChanged(s *config.State, now time.Time) {
+	for _, t := range p.targets {
+		if p.state.Evacuated[t.DataCentre] && !s.Evacuated[t.DataCentre] {
+			t.coldAtMost(now.Add(probation))
+		}
+	}
+	p.state = s
+}
 
 // Told takes news of the fleet.
 func (p *Pool) Told(n fleet.News, now time.Time) {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -109,7 +109,7 @@
 	}
 	best.inFlight++
 	best.sent[ticket] = now
-	if best.coldUntil.After(now) {
+	if best.cold(now) {
 		best.coldSends = append(best.coldSends, now)
 	}
 	return Choice{
@@ -157,7 +157,7 @@
 		if t.Leaving || p.state.Evacuated[t.DataCentre] || slices.Contains(r.Tried, t.ID) || !p.coldRoom(t, false, now) {
 			continue
 		}
-		bad := t.avoidUntil.After(now) || t.silent(now, p.patience(t, r, now))
+		bad := t.bad(now, p.patience(t, r, now))
 		c := p.cost(t, r, now)
 		if best == nil || avoided && !bad || avoided == bad && c < bestCost {
 			best, bestCost, avoided = t, c, bad
@@ -194,7 +194,7 @@
 		return nil, true, p.unowned(r, "owner %s refused key %d", held.Owner, r.Key)
 	case p.state.Evacuated[t.DataCentre] || t.Leaving:
 		return nil, true, p.unowned(r, "owner %s of key %d leaves", held.Owner, r.Key)
-	case t.avoidUntil.After(now) || t.silent(now, p.patience(t, r, now)):
+	case t.bad(now, p.patience(t, r, now)):
 		return nil, true, p.unowned(r, "owner %s of key %d does not answer", held.Owner, r.Key)
 	case !p.coldRoom(t, true, now):
 		return nil, true, p.unowned(r, "owner %s of key %d is cold", held.Owner, r.Key)
@@ -256,12 +256,12 @@
 		}
 	case o.Answered:
 		t.answeredAt = o.At
-		t.works()
+		t.works(o.At)
 		if !o.Failed && !o.Refused {
 			p.learn(t, o, loadThen)
 		}
 	case o.Failed:
-		t.avoid(o.At)
+		t.avoid(o.At, p.entries)
 	}
 }
 
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -17,12 +17,8 @@
 	askedAt     time.Time
 }
 
-// burstPart of a workspace's burst is given out; the rest covers shares that
-// move between entry VMs while both use them.
-const burstPart = 0.7
-
 // demandMemory is the time constant of a workspace's demand.
-const demandMemory = time.Second
+const demandMemory = 2 * time.Second
 
 func (p *Pool) bucketOf(w core.Workspace) *bucket {
 	b := p.buckets[w]
@@ -36,9 +32,9 @@
 func (b *bucket) setShare(s fleet.Share, now time.Time) {
 	b.refill(now)
 	if b.burst == 0 {
-		b.tokens = s.Burst * burstPart
+		b.tokens = s.Burst
 	}
-	b.rate, b.burst = s.Rate, max(s.Burst*burstPart, 1)
+	b.rate, b.burst = s.Rate, max(s.Burst, 1)
 	b.tokens = min(b.tokens, b.burst)
 }
 
@@ -129,10 +125,10 @@
 	if class.ColdRate <= 0 {
 		return 1 << 30
 	}
-	total := int(class.ColdRate*p.bounds.ColdOverage + p.bounds.ColdSlack - 2)
+	total := int(class.ColdRate*p.bounds.ColdOverage+p.bounds.ColdSlack) - trialsPerSecond - 2
 	senders := min(p.entries, coldSenders)
 	if keyed {
-		senders = min(p.entries, total)
+		senders = max(min(p.entries, total), 1)
 	}
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(t.ID))
@@ -145,7 +141,7 @@
 
 // coldRoom reports whether a cold target may get one more request now.
 func (p *Pool) coldRoom(t *target, keyed bool, now time.Time) bool {
-	if !t.coldUntil.After(now) {
+	if !t.cold(now) {
 		return true
 	}
 	for len(t.coldSends) > 0 && now.Sub(t.coldSends[0]) > coldWindow {
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -13,9 +13,14 @@
 	slownessMemory = 300 * time.Millisecond
 	// smoothing is the weight of one observation in a moving average.
 	smoothing = 0.15
-	// firstBackoff and maxBackoff bound how long a target that failed is avoided.
+	// firstBackoff is how long a target that failed is avoided at first.
 	firstBackoff = 250 * time.Millisecond
-	maxBackoff   = 2 * time.Second
+	// trialsPerSecond bounds the trials of a target that failed, from all entry
+	// VMs together: it may be back and cold.
+	trialsPerSecond = 5
+	// probation is how long a target that failed and answers again is treated as
+	// cold: by then its own statement has arrived.
+	probation = 1500 * time.Millisecond
 )
 
 // Load is what a target says of its load in an answer.
@@ -30,7 +35,9 @@
 	confirmed bool // the present leader knows it
 	granted   core.Version
 	coldUntil time.Time
-	coldSends []time.Time // newest sends while cold
+	// probationEnd is until when it is treated as cold without having said so.
+	probationEnd time.Time
+	coldSends    []time.Time // newest sends while cold
 
 	inFlight   int
 	load       Load
@@ -80,12 +87,38 @@
 }
 
 // avoid keeps new requests away for a while, longer each time in a row.
-func (t *target) avoid(now time.Time) {
-	t.backoff = min(max(2*t.backoff, firstBackoff), maxBackoff)
+func (t *target) avoid(now time.Time, entries int) {
+	longest := time.Duration(float64(entries) / trialsPerSecond * float64(time.Second))
+	t.backoff = min(max(2*t.backoff, firstBackoff), max(longest, time.Second))
 	t.avoidUntil = now.Add(t.backoff)
 }
 
-func (t *target) works() { t.backoff, t.avoidUntil = 0, time.Time{} }
+// works ends the avoidance after an answer. The target may have been away, and
+// may be cold without anybody having heard it yet.
+func (t *target) works(now time.Time) {
+	if t.backoff > firstBackoff {
+		t.coldAtMost(now.Add(probation))
+	}
+	t.backoff, t.avoidUntil = 0, time.Time{}
+}
+
+// coldAtMost treats the target as cold until a time, if it is not for longer.
+func (t *target) coldAtMost(until time.Time) {
+	if until.After(t.probationEnd) {
+		t.probationEnd = until
+	}
+}
+
+// cold reports whether the target may be cold.
+func (t *target) cold(now time.Time) bool {
+	return t.coldUntil.After(now) || t.probationEnd.After(now)
+}
+
+// bad reports whether the target should get a request only if no other can, or
+// as a trial: it failed lately, or is silent.
+func (t *target) bad(now time.Time, patience time.Duration) bool {
+	return t.avoidUntil.After(now) || t.backoff > 0 && t.inFlight > 0 || t.silent(now, patience)
+}
 
 // silent reports whether requests wait for an answer far longer than expected
 // while none came.
--- a/internal/balance/task.go
+++ b/internal/balance/task.go
@@ -131,7 +131,7 @@
 		r.pool.Told(m.News, clock.Now())
 		r.review()
 	case configChanged:
-		r.pool.ConfigChanged(m.state)
+		r.pool.ConfigChanged(m.state, clock.Now())
 		r.review()
 	case cancelled:
 		r.cancel(m.reply)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -31,6 +31,15 @@
 type Terms struct {
 	HeartbeatInterval time.Duration
 	KeyLease          time.Duration // a target holds its keys for so long after it sent a heartbeat
+	Quota             Quota
+}
+
+// Quota bounds what a workspace may send over all entry VMs: in any window its
+// rate and burst, Overage of that, and Slack requests.
+type Quota struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
 }
 
 // silentAfter is when a target that was not heard gets no new keys.
@@ -44,6 +53,8 @@
 // Span is a range of keys, both ends included.
 type Span struct{ First, Last uint32 }
 
+func (s Span) overlaps(o Span) bool { return s.First <= o.Last && o.First <= s.Last }
+
 // Held is a range that a target says it holds.
 type Held struct {
 	Span
@@ -177,7 +188,8 @@
 		h.Target.Leaving = true // a target that leaves does not come back under the same life
 	}
 	t.Target, t.sequence, t.heardAt, t.gone = h.Target, h.Sequence, now, false
-	t.holds, t.released = h.Holds, append(t.released, h.Released...)
+	t.holds = h.Holds
+	t.noteReleases(h.Released)
 	t.coldUntil = now
 	if h.ColdFor > 0 {
 		t.coldUntil = coldUntil
--- a/internal/fleet/keys.go
+++ b/internal/fleet/keys.go
@@ -38,6 +38,7 @@
 		if t.reportsHeld(r) {
 			r.Handover = "" // the target took it over already
 		}
+		t.forgetReleases(Span{r.First, r.Last})
 		fence = max(fence, r.Fence)
 		g.Ranges = append(g.Ranges, r)
 	}
@@ -58,7 +59,7 @@
 
 func (t *target) isRevoked(r config.KeyRange) bool {
 	for span := range t.revoked {
-		if span.First <= r.Last && r.First <= span.Last {
+		if span.overlaps(Span{r.First, r.Last}) {
 			return true
 		}
 	}
@@ -67,7 +68,7 @@
 
 func (b *Book) isPending(service core.Service, r config.KeyRange) bool {
 	return slices.ContainsFunc(b.pending[service], func(p Span) bool {
-		return p.First <= r.Last && r.First <= p.Last
+		return p.overlaps(Span{r.First, r.Last})
 	})
 }
 
@@ -107,12 +108,26 @@
 	return "", false
 }
 
+// noteReleases keeps the releases of ranges that t does not hold again.
+func (t *target) noteReleases(released []Release) {
+	for _, rel := range released {
+		if !slices.ContainsFunc(t.holds, func(h Held) bool { return h.overlaps(rel.Span) }) {
+			t.released = append(t.released, rel)
+		}
+	}
+}
+
+// forgetReleases drops the proofs of release of a range that is granted again.
+func (t *target) forgetReleases(granted Span) {
+	t.released = slices.DeleteFunc(t.released, func(rel Release) bool { return rel.overlaps(granted) })
+}
+
 // provesNotHeld reports whether a heartbeat without r was heard after every
 // answer that granted it had arrived or was void.
 func (t *target) provesNotHeld(r config.KeyRange, now time.Time) bool {
 	for span, since := range t.revoked {
 		if span.First <= r.First && r.Last <= span.Last && t.heardAt.Sub(since) > ackWindow {
-			return !slices.ContainsFunc(t.holds, func(h Held) bool { return h.First <= r.Last && r.First <= h.Last })
+			return !slices.ContainsFunc(t.holds, func(h Held) bool { return h.overlaps(Span{r.First, r.Last}) })
 		}
 	}
 	return false
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -100,9 +100,22 @@
 	}
 	rate := min(fair, max(t.Rate-others, 0))
 	e.granted[t.Name] = rate
-	return Share{Workspace: t.Name, Rate: rate, Burst: t.Burst * rate / t.Rate}
+	return Share{Workspace: t.Name, Rate: rate, Burst: b.reserve(t) * (rate/t.Rate + 1/n) / 2}
 }
 
+// reserve is the number of requests of a workspace that all entry VMs together
+// may admit at once: as many as keep what is admitted in any window within the
+// quota's bound. An entry VM sees a small part of the callers, so that its
+// demand varies much more than the whole.
+func (b *Book) reserve(t config.Tenancy) float64 {
+	q := b.terms.Quota
+	inWindow := t.Rate*q.Window.Seconds() + t.Burst
+	return max(reservePart*(inWindow*(1+q.Overage)+q.Slack-t.Rate*q.Window.Seconds()), t.Burst/2)
+}
+
+// reservePart of the bound is used, since requests travel for unequal times.
+const reservePart = 0.85
+
 func (b *Book) expireEntries(now time.Time) {
 	for vm, e := range b.entries {
 		if now.Sub(e.heardAt) > entryTTL {
