Place keys by the load they cause and the speed of targets

Cause: targets differ in speed by more than two to one, and a few keys get a third of the traffic; the first table deals keys out evenly and stayed so.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -38,6 +38,7 @@
 	budgets  map[core.Service]*budget
 	work     map[string]*work // by route
 	splits   map[string]*split
+	heat     heat
 }
 
 // NewPool returns a pool without targets.
@@ -46,7 +47,7 @@
 		bounds: bounds, random: rand.New(rand.NewPCG(seed, seed>>1|1)), state: config.NewState(),
 		targets: map[core.TargetID]*target{}, services: map[core.Service][]*target{},
 		entries: 1, buckets: map[core.Workspace]*bucket{}, budgets: map[core.Service]*budget{},
-		work: map[string]*work{}, splits: map[string]*split{},
+		work: map[string]*work{}, splits: map[string]*split{}, heat: newHeat(),
 	}
 }
 
@@ -111,7 +112,13 @@
 
 // Report is what this VM tells the leader.
 func (p *Pool) Report(self core.VM, now time.Time) fleet.Report {
-	r := fleet.Report{VM: self}
+	r := fleet.Report{VM: self, Heat: p.heat.report(now)}
+	for id, t := range p.targets {
+		if t.samples >= minSamples && p.state.Catalog.Services[t.Service].Keyed {
+			r.Speeds = append(r.Speeds, fleet.TargetSpeed{Target: id, Speed: t.speed})
+			t.samples = 0
+		}
+	}
 	for name, b := range p.buckets {
 		r.Demand = append(r.Demand, fleet.Demand{Workspace: name, Rate: b.demand(now), Held: b.rate})
 	}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -107,6 +107,9 @@
 		e.RetryAfter = p.spread(expected / 4)
 		return Choice{}, false, e
 	}
+	if class.Keyed {
+		p.heat.add(r.Service, r.Key, p.workOf(r.Route).mean, now)
+	}
 	best.inFlight++
 	best.sent[ticket] = now
 	if best.cold(now) {
@@ -285,6 +288,7 @@
 	ratio := min(max(alone/float64(w.mean), 0.2), 5)
 	t.speed += smoothing / 2 * (ratio - t.speed)
 	t.speed = min(max(t.speed, 0.3), 8)
+	t.samples++
 }
 
 // split spreads a route's requests over its services exactly by weight.
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -44,6 +44,7 @@
 	loadAt     time.Time
 	loadFlight int     // inFlight when load was reported
 	speed      float64 // work time relative to other targets; 1: as they
+	samples    int     // of speed since the newest report
 	failing    float64 // share of requests that failed lately, 0 to 1
 	shedding   float64 // share of requests that it refused lately, 0 to 1
 	avoidUntil time.Time
--- a/internal/balance/task.go
+++ b/internal/balance/task.go
@@ -16,7 +16,7 @@
 	mailboxSize  = 8192
 	reviewPeriod = 25 * time.Millisecond // between looks at requests that wait for an owner
 	maxWaiting   = 512                   // requests that wait for an owner
-	reportPeriod = 100 * time.Millisecond
+	reportPeriod = 200 * time.Millisecond
 )
 
 // Task owns the pool of an entry VM.
--- a/internal/config/catalog.go
+++ b/internal/config/catalog.go
@@ -256,6 +256,28 @@
 	return nil
 }
 
+// SplitKeys divides ranges without a change of owner or fence.
+type SplitKeys struct {
+	Service core.Service
+	At      []uint32 // keys that begin a range
+}
+
+func (c SplitKeys) apply(next *State) error {
+	table := slices.Clone(next.Keys[c.Service])
+	for _, at := range c.At {
+		i := slices.IndexFunc(table, func(r KeyRange) bool { return r.First < at && at <= r.Last })
+		if i < 0 {
+			continue // a range begins there already, or has no owner
+		}
+		second := table[i]
+		second.First = at
+		table[i].Last = at - 1
+		table = slices.Insert(table, i+1, second)
+	}
+	next.Keys[c.Service] = table
+	return nil
+}
+
 // overlay returns table with the parts that added covers replaced.
 func overlay(table KeyTable, added []KeyRange) KeyTable {
 	merged := make(KeyTable, 0, len(table)+2*len(added))
--- a/internal/configjson/configjson.go
+++ b/internal/configjson/configjson.go
@@ -33,6 +33,7 @@
 	config.PatchCatalog{},
 	config.SetEvacuated{},
 	config.AssignKeys{},
+	config.SplitKeys{},
 )
 
 func byName(values ...config.Change) map[string]reflect.Type {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -86,18 +86,18 @@
 // target is a target as the leader knows it.
 type target struct {
 	core.Target
-	sequence   uint64
-	heardAt    time.Time
-	coldUntil  time.Time
-	leaseEnd   time.Time // no key is held after it, as far as this tenure granted any
-	grantedAt  time.Time // newest answer with keys
-	granted    core.Version
-	gone       bool
-	changed    uint64 // Book.sequence of the newest change that entry VMs must know
-	holds      []Held
-	released   []Release
-	revoked    map[Span]time.Time // ranges that are left out of answers, since when
-	firstHeard time.Time
+	sequence  uint64
+	heardAt   time.Time
+	coldUntil time.Time
+	leaseEnd  time.Time // no key is held after it, as far as this tenure granted any
+	grantedAt time.Time // newest answer with keys
+	granted   core.Version
+	gone      bool
+	changed   uint64 // Book.sequence of the newest change that entry VMs must know
+	holds     []Held
+	released  []Release
+	revoked   map[Span]time.Time // ranges that are left out of answers, since when
+	speed     float64            // how long work takes, relative to others; 0: not known
 }
 
 // Book is the leader's knowledge in one tenure. Its owner alone calls it.
@@ -112,7 +112,8 @@
 	targets  map[core.TargetID]*target
 	entries  map[core.VM]*entry
 	pending  map[core.Service][]Span // ranges in proposals without a known outcome
-	heat     map[core.Service]*heat
+	// balancedAt is the newest look at the load of targets.
+	balancedAt time.Time
 }
 
 // NewBook returns an empty book.
@@ -128,7 +129,7 @@
 	b.targets = map[core.TargetID]*target{}
 	b.entries = map[core.VM]*entry{}
 	b.pending = map[core.Service][]Span{}
-	b.heat = map[core.Service]*heat{}
+	b.balancedAt = from
 }
 
 // Term is the term of the tenure.
@@ -148,7 +149,7 @@
 	t := b.targets[h.Target.ID]
 	switch {
 	case t == nil || h.Target.Incarnation > t.Incarnation:
-		t = b.register(h, t, now)
+		t = b.register(h, t)
 	case h.Target.Incarnation < t.Incarnation || h.Sequence <= t.sequence:
 		return Grant{}, false
 	}
@@ -162,13 +163,13 @@
 
 // register makes a new target or a new life of a known one. A target whose
 // address it took over is gone.
-func (b *Book) register(h Heartbeat, old *target, now time.Time) *target {
+func (b *Book) register(h Heartbeat, old *target) *target {
 	for id, other := range b.targets {
 		if id != h.Target.ID && other.Address == h.Target.Address && other.Incarnation <= h.Target.Incarnation {
 			b.markGone(other)
 		}
 	}
-	t := &target{Target: h.Target, revoked: map[Span]time.Time{}, firstHeard: now}
+	t := &target{Target: h.Target, revoked: map[Span]time.Time{}}
 	if old != nil {
 		t.changed = old.changed
 	}
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -23,7 +23,13 @@
 type KeyHeat struct {
 	Service core.Service
 	Key     uint32
-	Busy    float64 // seconds of work a second
+	Busy    float64 // seconds of work a second, on a target of usual speed
+}
+
+// TargetSpeed is how long work takes on a target, relative to others.
+type TargetSpeed struct {
+	Target core.TargetID
+	Speed  float64 // 2: twice as long
 }
 
 // Report is what an entry VM says of itself.
@@ -31,6 +37,7 @@
 	VM     core.VM
 	Demand []Demand
 	Heat   []KeyHeat
+	Speeds []TargetSpeed // of targets that answered lately
 }
 
 // Share is the part of a workspace's rate that one entry VM may admit.
@@ -45,6 +52,7 @@
 	heardAt time.Time
 	demand  map[core.Workspace]float64
 	granted map[core.Workspace]float64
+	heat    []KeyHeat
 }
 
 // Reported takes a report and returns the sender's shares, the number of entry
@@ -63,7 +71,8 @@
 			e.granted[d.Workspace] = d.Held // granted by a leader before this one
 		}
 	}
-	b.addHeat(r, now)
+	e.heat = r.Heat
+	b.noteSpeeds(r.Speeds)
 	for _, t := range s.Catalog.Tenants {
 		if !t.Dropped && t.Rate > 0 {
 			shares = append(shares, b.share(e, t))
@@ -124,37 +133,42 @@
 	}
 }
 
-// heat is how busy the keys of one service are, as all entry VMs report it.
-type heat struct {
-	busy map[uint32]float64
-	at   time.Time
+// heatOf returns how busy the keys of a service are, as the newest reports of
+// all entry VMs say, as sums: entry k is the load of all keys below k.
+func (b *Book) heatOf(service core.Service) []float64 {
+	sums := make([]float64, config.KeySpace+1)
+	for _, e := range b.entries {
+		for _, k := range e.heat {
+			if k.Service == service && k.Key < config.KeySpace {
+				sums[k.Key+1] += k.Busy
+			}
+		}
+	}
+	for i := 1; i < len(sums); i++ {
+		sums[i] += sums[i-1]
+	}
+	return sums
 }
 
-// heatHalfLife is after how long a report counts for half.
-const heatHalfLife = 2 * time.Second
-
-func (b *Book) addHeat(r Report, now time.Time) {
-	for _, k := range r.Heat {
-		h := b.heat[k.Service]
-		if h == nil {
-			h = &heat{busy: map[uint32]float64{}, at: now}
-			b.heat[k.Service] = h
+// speedSmoothing is the weight of one entry VM's report of a target's speed.
+const speedSmoothing = 0.05
+
+// noteSpeeds takes how long work takes on targets, relative to others.
+func (b *Book) noteSpeeds(speeds []TargetSpeed) {
+	for _, v := range speeds {
+		if t := b.targets[v.Target]; t != nil {
+			if t.speed == 0 {
+				t.speed = 1
+			}
+			t.speed += speedSmoothing * (v.Speed - t.speed)
 		}
-		h.busy[k.Key] += k.Busy
 	}
 }
 
-// heatOf is the load that a range of keys causes, in busy slots.
-func (b *Book) heatOf(service core.Service, r config.KeyRange) float64 {
-	h := b.heat[service]
-	if h == nil {
-		return 0
-	}
-	sum := 0.0
-	for key, busy := range h.busy {
-		if r.Contains(key) {
-			sum += busy
-		}
+// speedOf is how long work takes on t, relative to others.
+func (t *target) speedOf() float64 {
+	if t.speed <= 0 {
+		return 1
 	}
-	return sum
+	return t.speed
 }
--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -78,7 +78,7 @@
 	}
 	settled struct {
 		term   uint64
-		change config.AssignKeys
+		change config.Change
 		err    error
 	}
 )
@@ -192,9 +192,14 @@
 
 // propose asks the registry for a change of owners, in a goroutine that ends
 // with the answer.
-func (r *run) propose(ctx context.Context, change config.AssignKeys) {
+func (r *run) propose(ctx context.Context, change config.Change) {
 	term := r.book.Term()
-	r.options.Record("keys get owners", "service", change.Service, "ranges", len(change.Ranges), "term", term)
+	switch c := change.(type) {
+	case config.AssignKeys:
+		r.options.Record("keys get owners", "service", c.Service, "ranges", len(c.Ranges), "term", term)
+	case config.SplitKeys:
+		r.options.Record("busy ranges are split", "service", c.Service, "at", len(c.At), "term", term)
+	}
 	go func() {
 		_, err := r.options.Propose(ctx, config.Command{Change: change, At: time.Now()})
 		_ = r.mailbox.Send(ctx, settled{term, change, err}) // fails only when the task ends
@@ -224,10 +229,11 @@
 // stays pending: its keys are granted to nobody before the next tenure.
 func (r *run) settle(m settled) {
 	if m.err != nil {
-		r.options.Record("change of owners failed", "service", m.change.Service, "err", m.err)
+		r.options.Record("change of owners failed", "err", m.err)
 	}
-	if m.term == r.book.Term() && (m.err == nil || result.From(m.err).Ran == result.NotRun) {
-		r.book.Settled(m.change)
+	assigned, ok := m.change.(config.AssignKeys)
+	if ok && m.term == r.book.Term() && (m.err == nil || result.From(m.err).Ran == result.NotRun) {
+		r.book.Settled(assigned)
 	}
 }
 
--- a/internal/innerproto/fleet.go
+++ b/internal/innerproto/fleet.go
@@ -33,7 +33,10 @@
 		q.Demand = append(q.Demand, fleet.Demand{Workspace: core.Workspace(d.GetWorkspace()), Rate: d.GetRate(), Held: d.GetHeld()})
 	}
 	for _, k := range r.GetHeat() {
-		q.Heat = append(q.Heat, fleet.KeyHeat{Service: core.Service(k.GetService()), Key: k.GetKey(), Busy: k.GetBusy()})
+		q.Heat = append(q.Heat, fleet.KeyHeat{Service: core.Service(k.GetService()), Key: k.GetKey(), Busy: float64(k.GetBusy())})
+	}
+	for _, v := range r.GetSpeeds() {
+		q.Speeds = append(q.Speeds, fleet.TargetSpeed{Target: core.TargetID(v.GetTarget()), Speed: float64(v.GetSpeed())})
 	}
 	n, err := s.reported.Ask(ctx, q)
 	if err != nil {
@@ -79,7 +82,10 @@
 		r.Demand = append(r.Demand, &innerpb.WorkspaceDemand{Workspace: string(d.Workspace), Rate: d.Rate, Held: d.Held})
 	}
 	for _, k := range q.Heat {
-		r.Heat = append(r.Heat, &innerpb.ShardHeat{Service: string(k.Service), Key: k.Key, Busy: k.Busy})
+		r.Heat = append(r.Heat, &innerpb.ShardHeat{Service: string(k.Service), Key: k.Key, Busy: float32(k.Busy)})
+	}
+	for _, v := range q.Speeds {
+		r.Speeds = append(r.Speeds, &innerpb.TargetSpeed{Target: string(v.Target), Speed: float32(v.Speed)})
 	}
 	w, err := innerpb.NewFleetProtobufClient("http://"+address, c.client).Report(ctx, r)
 	if err != nil {
