--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -26,6 +26,7 @@
 
 // Pool is what an entry VM knows of all targets. Its owner alone calls it.
 type Pool struct {
+	home     core.DataCentre // of this VM
 	bounds   Bounds
 	random   *rand.Rand
 	state    *config.State
@@ -41,10 +42,10 @@
 	heat     heat
 }
 
-// NewPool returns a pool without targets.
-func NewPool(bounds Bounds, seed uint64) *Pool {
+// NewPool returns the pool of a VM in a data centre, without targets.
+func NewPool(home core.DataCentre, bounds Bounds, seed uint64) *Pool {
 	return &Pool{
-		bounds: bounds, random: rand.New(rand.NewPCG(seed, seed>>1|1)), state: config.NewState(),
+		home: home, bounds: bounds, random: rand.New(rand.NewPCG(seed, seed>>1|1)), state: config.NewState(),
 		targets: map[core.TargetID]*target{}, services: map[core.Service][]*target{},
 		entries: 1, buckets: map[core.Workspace]*bucket{}, budgets: map[core.Service]*budget{},
 		work: map[string]*work{}, splits: map[string]*split{}, heat: newHeat(),
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -117,7 +117,7 @@
 	}
 	return Choice{
 		Target: best.Target, Expected: expected, Load: best.expectedLoad(now, float64(p.entries)), LoadAge: now.Sub(best.loadAt),
-		Ticket: ticket, Patience: p.patience(best, r, now),
+		Ticket: ticket, Patience: p.hedgeAfter(expected, r),
 	}, false, nil
 }
 
@@ -126,6 +126,15 @@
 	return max(3*p.expected(t, r, now), 300*time.Millisecond)
 }
 
+// hedgeAfter is when a second sending could still be answered within the
+// route's objective, but not before the first is late by its own standard.
+// Load pattern: a target that turns slow while it works on the request.
+func (p *Pool) hedgeAfter(expected time.Duration, r Request) time.Duration {
+	const late = 1.6
+	lastChance := r.Route.Objective - 3*p.workOf(r.Route).mean/2
+	return max(time.Duration(late*float64(expected)), lastChance, 20*time.Millisecond)
+}
+
 // expected is the time until the answer of a request that is sent to t now.
 func (p *Pool) expected(t *target, r Request, now time.Time) time.Duration {
 	mean := float64(p.workOf(r.Route).mean) * t.speed * t.slowness(now)
@@ -142,11 +151,15 @@
 		busyWeight    = 0.25 // of a full target
 		failureWeight = 8
 		shedWeight    = 3
+		awayWeight    = 0.1  // of another data centre: its bytes cost, and its links fail more often
 		jitter        = 0.05 // so that entry VMs with equal knowledge differ
 	)
 	c := float64(p.expected(t, r, now))
 	c *= 1 + busyWeight*min(t.expectedLoad(now, float64(p.entries))/t.slots(), 1)
 	c *= 1 + failureWeight*t.failing + shedWeight*t.shedding
+	if t.DataCentre != p.home {
+		c *= 1 + awayWeight
+	}
 	return c * (1 + jitter*p.random.Float64())
 }
 
@@ -178,6 +191,10 @@
 // again while nothing new is known.
 const refusedKeyPause = 300 * time.Millisecond
 
+// ownerPatience multiplies the patience with an owner, since its keys have no
+// other target.
+const ownerPatience = 3
+
 // owner is the target that holds the key of r. wait: it is not ready yet.
 func (p *Pool) owner(r Request, now time.Time) (t *target, wait bool, err *result.Error) {
 	if !r.HasKey {
@@ -197,7 +214,7 @@
 		return nil, true, p.unowned(r, "owner %s refused key %d", held.Owner, r.Key)
 	case p.state.Evacuated[t.DataCentre] || t.Leaving:
 		return nil, true, p.unowned(r, "owner %s of key %d leaves", held.Owner, r.Key)
-	case t.bad(now, p.patience(t, r, now)):
+	case t.bad(now, ownerPatience*p.patience(t, r, now)):
 		return nil, true, p.unowned(r, "owner %s of key %d does not answer", held.Owner, r.Key)
 	case !p.coldRoom(t, true, now):
 		return nil, true, p.unowned(r, "owner %s of key %d is cold", held.Owner, r.Key)
--- a/internal/balance/task.go
+++ b/internal/balance/task.go
@@ -24,6 +24,7 @@
 	mailbox task.Mailbox[message]
 	report  task.Snapshot[fleet.Report]
 	self    core.VM
+	home    core.DataCentre
 	bounds  Bounds
 	seed    uint64
 }
@@ -55,11 +56,11 @@
 func (cancelled) isMessage()     {}
 
 // NewTask returns a task that is not running yet.
-func NewTask(self core.VM, bounds Bounds, seed uint64) *Task {
+func NewTask(self core.VM, home core.DataCentre, bounds Bounds, seed uint64) *Task {
 	return &Task{
 		mailbox: task.NewMailbox[message]("balance", mailboxSize),
 		report:  task.NewSnapshot(&fleet.Report{VM: self}),
-		self:    self, bounds: bounds, seed: seed,
+		self:    self, home: home, bounds: bounds, seed: seed,
 	}
 }
 
@@ -101,7 +102,7 @@
 
 // Serve runs the task until ctx ends.
 func (t *Task) Serve(ctx context.Context) error {
-	r := &run{Task: t, pool: NewPool(t.bounds, t.seed)}
+	r := &run{Task: t, pool: NewPool(t.home, t.bounds, t.seed)}
 	review := time.NewTicker(reviewPeriod)
 	defer review.Stop()
 	ticks := 0
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -17,7 +17,7 @@
 	maxMoved = 24
 	// maxMovedLoad bounds the part of the whole load that one look moves: its
 	// requests wait for the new owner.
-	maxMovedLoad = 0.08
+	maxMovedLoad = 0.2
 	// worthMoving is how many times slower a range's owner must be than the next
 	// one would be. A move costs its callers a part of a second.
 	worthMoving = 1.3
@@ -245,12 +245,12 @@
 	for _, from := range bySlowness {
 		for _, r := range p.busiest(from) {
 			load := p.loadOf(r)
-			if moved == maxMoved || movedLoad+load > max(maxMovedLoad*total, load) {
+			if moved == maxMoved || movedLoad > maxMovedLoad*total {
 				return
 			}
 			to := p.next(load)
 			if to == nil || to == from || from.expected(0) < worthMoving*to.expected(load) {
-				break
+				continue
 			}
 			from.revoke(r, p.now)
 			from.load -= load
--- a/internal/leadership/task.go
+++ b/internal/leadership/task.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	pollPeriod = 200 * time.Millisecond
+	pollPeriod = 120 * time.Millisecond
 	askTimeout = 500 * time.Millisecond
 )
 
--- a/internal/registry/task.go
+++ b/internal/registry/task.go
@@ -22,8 +22,8 @@
 	mailboxSize = 4096
 	tickPeriod  = 100 * time.Millisecond
 
-	electionTicks  = 10 // 1 s to 2 s without a leader start an election
-	heartbeatTicks = 3
+	electionTicks  = 6 // 0.6 s to 1.2 s without a leader start an election
+	heartbeatTicks = 2
 	refreshTicks   = 10 // between proofs that this replica is up to date
 	maxEntries     = 512
 	deliverTimeout = 400 * time.Millisecond
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -24,6 +24,7 @@
 // EntryOptions are the parts of an entry VM.
 type EntryOptions struct {
 	Inner  Inner
+	Home   core.DataCentre
 	Bounds balance.Bounds
 	Sender relay.Sender
 	Logger log.Logger
@@ -46,7 +47,7 @@
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(self))
 	e := &Entry{options: o, control: task.NewSnapshot(&[]string{})}
-	e.balance = balance.NewTask(self, o.Bounds, seed.Sum64())
+	e.balance = balance.NewTask(self, o.Home, o.Bounds, seed.Sum64())
 	e.copy = configsync.NewTask(configjson.Codec{}, func(s *config.State) { e.balance.ConfigChanged(s) })
 	member := raft.Member{VM: self, Address: o.Inner.Address}
 	e.poller = &configsync.Poller{
