Divide a cold target's allowance at the leader; make retirements durable

Change: the leader names the senders of a cold target when it becomes cold; a retirement is in the registry's log before the target is told. A young tenure divides nothing until all entry VMs had time to report.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -6,7 +6,6 @@
 package balance
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/config"
@@ -16,24 +15,23 @@
 
 // Bounds are what the deployment allows over all entry VMs.
 type Bounds struct {
-	ColdOverage  float64 // a cold target bears its rate times this, and ColdSlack, in any second
-	ColdSlack    float64
+	Cold         fleet.Cold
 	BudgetRatio  float64 // repeats for each request, in any BudgetWindow
 	BudgetExtra  float64 // repeats beyond that
 	BudgetWindow time.Duration
-	MaxProofAge  time.Duration // requests with a caller key need a configuration confirmed as lately
 }
 
 // Pool is what an entry VM knows of all targets. Its owner alone calls it.
 type Pool struct {
 	home     core.DataCentre // of this VM
 	bounds   Bounds
-	random   *rand.Rand
+	random   func() float64 // 0 to 1
 	state    *config.State
 	targets  map[core.TargetID]*target
 	services map[core.Service][]*target
-	entries  int // entry VMs that share the limits
-	place    int // of this one
+	entries  int  // entry VMs that share the limits
+	place    int  // of this one
+	told     bool // a leader has told both
 	term     uint64
 	buckets  map[core.Workspace]*bucket
 	budgets  map[core.Service]*budget
@@ -43,9 +41,9 @@
 }
 
 // NewPool returns the pool of a VM in a data centre, without targets.
-func NewPool(home core.DataCentre, bounds Bounds, seed uint64) *Pool {
+func NewPool(home core.DataCentre, bounds Bounds, random func() float64) *Pool {
 	return &Pool{
-		home: home, bounds: bounds, random: rand.New(rand.NewPCG(seed, seed>>1|1)), state: config.NewState(),
+		home: home, bounds: bounds, random: random, state: config.NewState(),
 		targets: map[core.TargetID]*target{}, services: map[core.Service][]*target{},
 		entries: 1, buckets: map[core.Workspace]*bucket{}, budgets: map[core.Service]*budget{},
 		work: map[string]*work{}, splits: map[string]*split{}, heat: newHeat(),
@@ -71,7 +69,9 @@
 			t.confirmed = false
 		}
 	}
-	p.entries, p.place = max(n.Entries, 1), n.Place
+	if n.Entries > 0 {
+		p.entries, p.place, p.told = n.Entries, n.Place, true
+	}
 	for _, s := range n.Targets {
 		p.tell(s, now)
 	}
@@ -97,7 +97,14 @@
 		p.services[s.Service] = append(p.services[s.Service], t)
 	}
 	t.Target, t.granted, t.confirmed = s.Target, s.Granted, true
+	wasCold := t.coldUntil.After(now)
 	t.coldUntil = now.Add(s.ColdFor)
+	switch {
+	case s.ColdAllowance != fleet.Undecided:
+		t.allowance = s.ColdAllowance
+	case !wasCold:
+		t.allowance = 1 // the least that keeps it in use
+	}
 }
 
 func (p *Pool) remove(t *target) {
@@ -113,7 +120,7 @@
 
 // Report is what this VM tells the leader.
 func (p *Pool) Report(self core.VM, now time.Time) fleet.Report {
-	r := fleet.Report{VM: self, Heat: p.heat.report(now)}
+	r := fleet.Report{VM: self, Fresh: !p.told, Heat: p.heat.report(now)}
 	for id, t := range p.targets {
 		if t.samples >= minSamples && p.state.Catalog.Services[t.Service].Keyed {
 			r.Speeds = append(r.Speeds, fleet.TargetSpeed{Target: id, Speed: t.speed})
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -75,7 +75,7 @@
 
 // spread makes callers that are refused together return one after the other.
 func (p *Pool) spread(wait time.Duration) time.Duration {
-	return time.Duration(float64(wait) * (1 + p.random.Float64()))
+	return time.Duration(float64(wait) * (1 + p.random()))
 }
 
 // Repeat reports whether the shared budget allows to send r once more.
@@ -160,7 +160,7 @@
 	if t.DataCentre != p.home {
 		c *= 1 + awayWeight
 	}
-	return c * (1 + jitter*p.random.Float64())
+	return c * (1 + jitter*p.random())
 }
 
 // leastExpected is the target with the least expected time. Load pattern:
@@ -170,7 +170,7 @@
 	var bestCost float64
 	avoided := true
 	for _, t := range p.services[r.Service] {
-		if t.Leaving || p.state.Evacuated[t.DataCentre] || slices.Contains(r.Tried, t.ID) || !p.coldRoom(t, false, now) {
+		if p.leaves(t) || slices.Contains(r.Tried, t.ID) || !p.coldRoom(t, now) {
 			continue
 		}
 		bad := t.bad(now, p.patience(t, r, now))
@@ -187,6 +187,12 @@
 	return best, nil
 }
 
+// leaves reports whether t gets no new work: it said so itself, or operators
+// take its data centre out.
+func (p *Pool) leaves(t *target) bool {
+	return t.Leaving || p.state.Evacuated[t.DataCentre] || p.state.IsRetired(t.ID, t.Incarnation)
+}
+
 // refusedKeyPause is how long a target that refused a key is not asked for it
 // again while nothing new is known.
 const refusedKeyPause = 300 * time.Millisecond
@@ -212,11 +218,11 @@
 		return nil, true, p.unowned(r, "owner %s of key %d has no grant of %d yet", held.Owner, r.Key, held.Fence)
 	case t.notHeld == held.Fence && now.Sub(t.notHeldAt) < refusedKeyPause:
 		return nil, true, p.unowned(r, "owner %s refused key %d", held.Owner, r.Key)
-	case p.state.Evacuated[t.DataCentre] || t.Leaving:
+	case p.leaves(t):
 		return nil, true, p.unowned(r, "owner %s of key %d leaves", held.Owner, r.Key)
 	case t.bad(now, ownerPatience*p.patience(t, r, now)):
 		return nil, true, p.unowned(r, "owner %s of key %d does not answer", held.Owner, r.Key)
-	case !p.coldRoom(t, true, now):
+	case !p.coldRoom(t, now):
 		return nil, true, p.unowned(r, "owner %s of key %d is cold", held.Owner, r.Key)
 	}
 	return t, false, nil
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"hash/fnv"
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/core"
@@ -109,43 +108,37 @@
 	return b.repeats+1 <= allowed*budgetPart
 }
 
-const (
-	// coldWindow is a little more than the second in which a cold target's
-	// requests are counted, since they travel for unequal times.
-	coldWindow = 1100 * time.Millisecond
-	// coldSenders is how many entry VMs send to a cold target that no keys bind.
-	coldSenders = 3
-)
+// coldWindow is a little more than the second in which a cold target's requests
+// are counted, since they travel for unequal times.
+const coldWindow = 1100 * time.Millisecond
 
-// coldAllowance is how many requests this VM may send to t in one second while
-// it is cold. A cold target belongs to a few entry VMs, so that their parts are
-// whole requests.
-func (p *Pool) coldAllowance(t *target, keyed bool) int {
-	class, _ := p.state.Catalog.Service(t.Service)
-	if class.ColdRate <= 0 {
-		return 1 << 30
+// coldAllowance is how many requests this VM may send to t in one second: what
+// the leader allowed, or on probation, of which the leader does not know, a
+// place among the entry VMs.
+func (p *Pool) coldAllowance(t *target, now time.Time) int {
+	if t.coldUntil.After(now) {
+		return t.allowance
 	}
-	total := int(class.ColdRate*p.bounds.ColdOverage+p.bounds.ColdSlack) - trialsPerSecond - 2
-	senders := min(p.entries, coldSenders)
-	if keyed {
-		senders = max(min(p.entries, total), 1)
-	}
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(t.ID))
-	first := int(h.Sum32() % uint32(p.entries))
-	if (p.place-first+p.entries)%p.entries >= senders {
+	class, _ := p.state.Catalog.Service(t.Service)
+	total, limited := p.bounds.Cold.ColdTotal(class)
+	switch {
+	case !limited:
+		return fleet.NoLimit
+	case p.place < total:
+		return max(total/p.entries, 1)
+	default:
 		return 0
 	}
-	return max(total/max(senders, 1), 1)
 }
 
 // coldRoom reports whether a cold target may get one more request now.
-func (p *Pool) coldRoom(t *target, keyed bool, now time.Time) bool {
+func (p *Pool) coldRoom(t *target, now time.Time) bool {
 	if !t.cold(now) {
 		return true
 	}
 	for len(t.coldSends) > 0 && now.Sub(t.coldSends[0]) > coldWindow {
 		t.coldSends = t.coldSends[1:]
 	}
-	return len(t.coldSends) < p.coldAllowance(t, keyed)
+	allowance := p.coldAllowance(t, now)
+	return allowance == fleet.NoLimit || len(t.coldSends) < allowance
 }
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/fleet"
 )
 
 const (
@@ -15,9 +16,6 @@
 	smoothing = 0.15
 	// firstBackoff is how long a target that failed is avoided at first.
 	firstBackoff = 250 * time.Millisecond
-	// trialsPerSecond bounds the trials of a target that failed, from all entry
-	// VMs together: it may be back and cold.
-	trialsPerSecond = 5
 	// probation is how long a target that failed and answers again is treated as
 	// cold: by then its own statement has arrived.
 	probation = 1500 * time.Millisecond
@@ -35,6 +33,7 @@
 	confirmed bool // the present leader knows it
 	granted   core.Version
 	coldUntil time.Time
+	allowance int // requests in one second while it is cold; fleet.NoLimit: any number
 	// probationEnd is until when it is treated as cold without having said so.
 	probationEnd time.Time
 	coldSends    []time.Time // newest sends while cold
@@ -89,7 +88,7 @@
 
 // avoid keeps new requests away for a while, longer each time in a row.
 func (t *target) avoid(now time.Time, entries int) {
-	longest := time.Duration(float64(entries) / trialsPerSecond * float64(time.Second))
+	longest := time.Duration(float64(entries) / fleet.TrialsPerSecond * float64(time.Second))
 	t.backoff = min(max(2*t.backoff, firstBackoff), max(longest, time.Second))
 	t.avoidUntil = now.Add(t.backoff)
 }
--- a/internal/balance/task.go
+++ b/internal/balance/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/clock"
@@ -102,7 +103,7 @@
 
 // Serve runs the task until ctx ends.
 func (t *Task) Serve(ctx context.Context) error {
-	r := &run{Task: t, pool: NewPool(t.home, t.bounds, t.seed)}
+	r := &run{Task: t, pool: NewPool(t.home, t.bounds, rand.New(rand.NewPCG(t.seed, 0)).Float64)}
 	review := time.NewTicker(reviewPeriod)
 	defer review.Stop()
 	ticks := 0
--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -141,6 +141,7 @@
 		Catalog:     s.Catalog,
 		Evacuated:   maps.Clone(s.Evacuated),
 		Keys:        maps.Clone(s.Keys),
+		Retired:     maps.Clone(s.Retired),
 		Answered:    s.Answered.clone(),
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -108,7 +108,9 @@
 	Catalog     *Catalog                  // routes, workspaces and services that are changed item by item
 	Evacuated   map[core.DataCentre]bool  // data centres whose targets get no new work
 	Keys        map[core.Service]KeyTable // owners of the keys of keyed services
-	Answered    Answers
+	// Retired are targets that said that they leave; they get no new work.
+	Retired  map[core.TargetID]Retirement
+	Answered Answers
 }
 
 // NewState returns the empty configuration, version 0.
@@ -125,6 +127,7 @@
 		Catalog:     newCatalog(),
 		Evacuated:   map[core.DataCentre]bool{},
 		Keys:        map[core.Service]KeyTable{},
+		Retired:     map[core.TargetID]Retirement{},
 		Answered:    newAnswers(),
 	}
 }
--- a/internal/configjson/configjson.go
+++ b/internal/configjson/configjson.go
@@ -34,6 +34,7 @@
 	config.SetEvacuated{},
 	config.AssignKeys{},
 	config.SplitKeys{},
+	config.RetireTarget{},
 )
 
 func byName(values ...config.Change) map[string]reflect.Type {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -32,6 +32,14 @@
 	HeartbeatInterval time.Duration
 	KeyLease          time.Duration // a target holds its keys for so long after it sent a heartbeat
 	Quota             Quota
+	Cold              Cold
+}
+
+// Cold bounds the requests to a cold target in any second: its rate times
+// Overage, and Slack requests.
+type Cold struct {
+	Overage float64
+	Slack   float64
 }
 
 // Quota bounds what a workspace may send over all entry VMs: in any window its
@@ -89,15 +97,20 @@
 	sequence  uint64
 	heardAt   time.Time
 	coldUntil time.Time
-	leaseEnd  time.Time // no key is held after it, as far as this tenure granted any
-	grantedAt time.Time // newest answer with keys
-	granted   core.Version
-	gone      bool
-	changed   uint64 // Book.sequence of the newest change that entry VMs must know
-	holds     []Held
-	released  []Release
-	revoked   map[Span]time.Time // ranges that are left out of answers, since when
-	speed     float64            // how long work takes, relative to others; 0: not known
+	// coldSenders are the entry VMs that may send while it is cold, chosen when
+	// that began, and how many requests each may send in one second.
+	coldSenders   []core.VM
+	coldAllowance int
+	coldUndecided bool
+	leaseEnd      time.Time // no key is held after it, as far as this tenure granted any
+	grantedAt     time.Time // newest answer with keys
+	granted       core.Version
+	gone          bool
+	changed       uint64 // Book.sequence of the newest change that entry VMs must know
+	holds         []Held
+	released      []Release
+	revoked       map[Span]time.Time // ranges that are left out of answers, since when
+	speed         float64            // how long work takes, relative to others; 0: not known
 }
 
 // Book is the leader's knowledge in one tenure. Its owner alone calls it.
@@ -153,8 +166,8 @@
 	case h.Target.Incarnation < t.Incarnation || h.Sequence <= t.sequence:
 		return Grant{}, false
 	}
-	b.update(t, h, now)
 	class, ok := s.Catalog.Service(t.Service)
+	b.update(t, h, class, now)
 	if !ok || !class.Keyed {
 		return Grant{}, true
 	}
@@ -178,7 +191,7 @@
 	return t
 }
 
-func (b *Book) update(t *target, h Heartbeat, now time.Time) {
+func (b *Book) update(t *target, h Heartbeat, class config.TargetClass, now time.Time) {
 	coldUntil := now.Add(h.ColdFor)
 	wasCold := t.coldUntil.After(now)
 	if h.Target != t.Target || t.gone || h.ColdFor > 0 && !wasCold || h.ColdFor == 0 && wasCold ||
@@ -194,15 +207,23 @@
 	t.coldUntil = now
 	if h.ColdFor > 0 {
 		t.coldUntil = coldUntil
+		if !wasCold || t.coldSenders == nil {
+			b.chooseColdSenders(t, class, now)
+		}
 	}
 }
 
-// Left takes a target's farewell. It may go on with the requests it has.
-func (b *Book) Left(id core.TargetID, life core.Incarnation) {
-	if t := b.targets[id]; t != nil && t.Incarnation <= max(life, t.Incarnation) && (life == 0 || life >= t.Incarnation) {
-		t.Leaving = true
-		b.markGone(t)
+// Left takes a target's farewell and returns the life that ends; life is zero
+// if the farewell did not name it. The target may go on with the requests that
+// it has.
+func (b *Book) Left(id core.TargetID, life core.Incarnation) core.Incarnation {
+	t := b.targets[id]
+	if t == nil || life != 0 && life < t.Incarnation {
+		return life
 	}
+	t.Leaving = true
+	b.markGone(t)
+	return max(life, t.Incarnation)
 }
 
 func (b *Book) markGone(t *target) {
@@ -228,5 +249,5 @@
 
 // usable reports whether a target may get keys.
 func (b *Book) usable(t *target, s *config.State, now time.Time) bool {
-	return !t.gone && !t.Leaving && !s.Evacuated[t.DataCentre] && now.Sub(t.heardAt) <= b.terms.silentAfter()
+	return !t.gone && !t.Leaving && !s.IsRetired(t.ID, t.Incarnation) && !s.Evacuated[t.DataCentre] && now.Sub(t.heardAt) <= b.terms.silentAfter()
 }
--- a/internal/fleet/keys.go
+++ b/internal/fleet/keys.go
@@ -70,7 +70,7 @@
 
 // free reports whether nobody can hold r any more, and the proof of release
 // that its last owner gave.
-func (b *Book) free(service core.Service, r config.KeyRange, now time.Time) (handover string, ok bool) {
+func (b *Book) free(r config.KeyRange, now time.Time) (handover string, ok bool) {
 	tenureBound := b.from.Add(b.terms.leaseBound())
 	t := b.targets[r.Owner]
 	switch {
@@ -83,7 +83,7 @@
 		if handover, ok := t.releaseOf(r); ok {
 			return handover, true
 		}
-		if t.provesNotHeld(r, now) {
+		if t.provesNotHeld(r) {
 			return "", true
 		}
 	}
@@ -120,7 +120,7 @@
 
 // provesNotHeld reports whether a heartbeat without r was heard after every
 // answer that granted it had arrived or was void.
-func (t *target) provesNotHeld(r config.KeyRange, now time.Time) bool {
+func (t *target) provesNotHeld(r config.KeyRange) bool {
 	for span, since := range t.revoked {
 		if span.First <= r.First && r.Last <= span.Last && t.heardAt.Sub(since) > ackWindow {
 			return !slices.ContainsFunc(t.holds, func(h Held) bool { return h.overlaps(Span{r.First, r.Last}) })
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -102,7 +102,7 @@
 		if o := p.ownerOf(r); o != nil || p.book.isPending(p.service, r) {
 			continue
 		}
-		if handover, ok := p.book.free(p.service, r, p.now); ok {
+		if handover, ok := p.book.free(r, p.now); ok {
 			r.Handover = handover
 			free = append(free, r)
 		}
--- a/internal/fleet/roster.go
+++ b/internal/fleet/roster.go
@@ -11,12 +11,15 @@
 	core.Target
 	Gone    bool
 	ColdFor time.Duration // how much longer it is slow after its start
-	Granted core.Version  // highest fence of the keys that it was granted
+	// ColdAllowance is how many requests the asking VM may send to it in one
+	// second while it is cold; or NoLimit, or Undecided.
+	ColdAllowance int
+	Granted       core.Version // highest fence of the keys that it was granted
 }
 
-// Changed returns the targets that changed after sequence of term, all of them
-// for another term.
-func (b *Book) Changed(term, sequence uint64, now time.Time) []TargetState {
+// Changed returns for an entry VM the targets that changed after sequence of
+// term, all of them for another term.
+func (b *Book) Changed(vm core.VM, term, sequence uint64, now time.Time) []TargetState {
 	if term != b.term {
 		sequence = 0
 	}
@@ -26,7 +29,7 @@
 			continue
 		}
 		changed = append(changed, TargetState{
-			Target: t.Target, Gone: t.gone, Granted: t.granted, ColdFor: max(t.coldUntil.Sub(now), 0),
+			Target: t.Target, Gone: t.gone, Granted: t.granted, ColdFor: max(t.coldUntil.Sub(now), 0), ColdAllowance: t.allowanceFor(vm),
 		})
 	}
 	return changed
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -35,6 +35,7 @@
 // Report is what an entry VM says of itself.
 type Report struct {
 	VM     core.VM
+	Fresh  bool // no leader has given it shares yet
 	Demand []Demand
 	Heat   []KeyHeat
 	Speeds []TargetSpeed // of targets that answered lately
@@ -55,8 +56,19 @@
 	heat    []KeyHeat
 }
 
+const (
+	// reportSettle is how long a tenure listens to entry VMs before it divides
+	// anything among them: one whose leader fell silent asks the next after
+	// askTimeout.
+	reportSettle = askTimeout + 400*time.Millisecond
+	// freshSettle is the same for an entry VM that has no shares from a leader
+	// before: it waits for some, and so do the others that started with it.
+	freshSettle = 600 * time.Millisecond
+)
+
 // Reported takes a report and returns the sender's shares, the number of entry
-// VMs that report, and the sender's place among them.
+// VMs that report, and the sender's place among them. entries is zero while
+// the tenure is too young to divide: the sender keeps what it has.
 func (b *Book) Reported(r Report, s *config.State, now time.Time) (shares []Share, entries, place int) {
 	e := b.entries[r.VM]
 	if e == nil {
@@ -73,6 +85,13 @@
 	}
 	e.heat = r.Heat
 	b.noteSpeeds(r.Speeds)
+	settle := reportSettle
+	if r.Fresh {
+		settle = freshSettle
+	}
+	if now.Sub(b.from) < settle {
+		return nil, 0, 0
+	}
 	for _, t := range s.Catalog.Tenants {
 		if !t.Dropped && t.Rate > 0 {
 			shares = append(shares, b.share(e, t))
--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -70,7 +70,11 @@
 	farewell struct {
 		id    core.TargetID
 		life  core.Incarnation
-		reply task.Reply[error]
+		reply task.Reply[farewellAnswer]
+	}
+	farewellAnswer struct {
+		life core.Incarnation // that ends
+		err  error
 	}
 	question struct {
 		Question
@@ -106,16 +110,32 @@
 	if err != nil {
 		return Grant{}, err
 	}
+	if a.err == nil && h.Target.Leaving {
+		a.err = t.retire(ctx, h.Target.ID, h.Target.Incarnation)
+	}
 	return a.grant, a.err
 }
 
+// retire returns once it is durable on a majority that a target leaves, so that
+// no later leader and no entry VM takes it for one that stays.
+func (t *Task) retire(ctx context.Context, id core.TargetID, life core.Incarnation) error {
+	if t.options.State().IsRetired(id, life) {
+		return nil
+	}
+	_, err := t.options.Propose(ctx, config.Command{Change: config.RetireTarget{Target: id, Life: life}, At: time.Now()})
+	return err
+}
+
 // Farewell hands over that a target ends.
 func (t *Task) Farewell(ctx context.Context, id core.TargetID, life core.Incarnation) error {
-	left, err := task.Ask(ctx, t.mailbox, func(r task.Reply[error]) message { return farewell{id, life, r} })
+	left, err := task.Ask(ctx, t.mailbox, func(r task.Reply[farewellAnswer]) message { return farewell{id, life, r} })
 	if err != nil {
 		return err
 	}
-	return left
+	if left.err != nil {
+		return left.err
+	}
+	return t.retire(ctx, id, left.life)
 }
 
 // Ask returns news for an entry VM, at once or when there is some.
@@ -212,12 +232,12 @@
 		m.reply.Answer(r.heard(m.Heartbeat))
 	case farewell:
 		if !r.leads() {
-			m.reply.Answer(NotLeading{r.options.Tenure().Leader})
+			m.reply.Answer(farewellAnswer{err: NotLeading{r.options.Tenure().Leader}})
 			return
 		}
-		r.book.Left(m.id, m.life)
-		r.options.Record("target left", "target", m.id)
-		m.reply.Answer(nil)
+		life := r.book.Left(m.id, m.life)
+		r.options.Record("target left", "target", m.id, "life", life)
+		m.reply.Answer(farewellAnswer{life: life})
 	case question:
 		r.ask(m)
 	case settled:
@@ -299,7 +319,7 @@
 	shares, entries, place := r.book.Reported(q.Report, r.options.State(), now)
 	r.pushed = r.book.Sequence()
 	return News{
-		Term: r.book.Term(), Sequence: r.book.Sequence(), Targets: r.book.Changed(q.Term, q.Sequence, now),
+		Term: r.book.Term(), Sequence: r.book.Sequence(), Targets: r.book.Changed(q.VM, q.Term, q.Sequence, now),
 		Shares: shares, Entries: entries, Place: place, Control: r.control,
 	}
 }
--- a/internal/innerproto/fleet.go
+++ b/internal/innerproto/fleet.go
@@ -26,7 +26,7 @@
 // Report answers a long poll.
 func (s fleetServer) Report(ctx context.Context, r *innerpb.FleetReport) (*innerpb.FleetNews, error) {
 	q := fleet.Question{
-		Report: fleet.Report{VM: core.VM(r.GetVm())},
+		Report: fleet.Report{VM: core.VM(r.GetVm()), Fresh: r.GetFresh()},
 		Term:   r.GetTerm(), Sequence: r.GetSequence(), Hold: time.Duration(r.GetHoldMicros()) * time.Microsecond,
 	}
 	for _, d := range r.GetDemand() {
@@ -57,6 +57,7 @@
 			Id: string(t.ID), Life: uint64(t.Incarnation), Service: string(t.Service), Address: t.Address,
 			DataCentre: string(t.DataCentre), Slots: uint32(t.Slots), Leaving: t.Leaving, Gone: t.Gone,
 			ColdMicros: uint64(t.ColdFor.Microseconds()), Granted: uint64(t.Granted),
+			ColdAllowance: int32(t.ColdAllowance),
 		})
 	}
 	for _, s := range n.Shares {
@@ -77,6 +78,7 @@
 func (c *FleetClient) Ask(ctx context.Context, address string, q fleet.Question) (fleet.News, error) {
 	r := &innerpb.FleetReport{
 		Vm: string(q.VM), Term: q.Term, Sequence: q.Sequence, HoldMicros: uint64(q.Hold.Microseconds()),
+		Fresh: q.Fresh,
 	}
 	for _, d := range q.Demand {
 		r.Demand = append(r.Demand, &innerpb.WorkspaceDemand{Workspace: string(d.Workspace), Rate: d.Rate, Held: d.Held})
@@ -109,6 +111,7 @@
 				Address: t.GetAddress(), DataCentre: core.DataCentre(t.GetDataCentre()), Slots: int(t.GetSlots()), Leaving: t.GetLeaving(),
 			},
 			Gone: t.GetGone(), ColdFor: time.Duration(t.GetColdMicros()) * time.Microsecond, Granted: core.Version(t.GetGranted()),
+			ColdAllowance: int(t.GetColdAllowance()),
 		})
 	}
 	for _, s := range w.GetShares() {
--- a/internal/relay/relay.go
+++ b/internal/relay/task.go
@@ -1,7 +1,7 @@
 // Package relay takes one request on an entry VM from its admission to its
 // answer: it asks for a target, sends, and decides what follows a failure. It
-// runs on the request's own goroutine and knows no encoding. Decisions:
-// decide.go; relay.go carries them out.
+// knows no encoding. Decisions:
+// decide.go. Task: task.go, which is the request's own goroutine.
 package relay
 
 import (
--- a/internal/roles/control.go
+++ b/internal/roles/control.go
@@ -13,7 +13,6 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/comfreynotch/comfreynotch/internal/clock"
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/configjson"
 	"github.com/comfreynotch/comfreynotch/internal/configsync"
@@ -247,6 +246,3 @@
 // isOlder reports whether replica m, at the same address as o, is the one that
 // is gone: it has less of the log than the other.
 func isOlder(m, o core.VM, s raft.Status) bool { return s.Match[m] < s.Match[o] }
-
-// Now is the time by which leases are counted.
-func Now() time.Time { return clock.Now() }
--- a/internal/shape/shape_test.go
+++ b/internal/shape/shape_test.go
@@ -20,7 +20,7 @@
 	"task": true, "innerproto": true, "innerpb": true, "gateway": true, "upstream": true, "granthttp": true,
 	"announce": true, "operators": true, "daemon": true, "telemetry": true, "settings": true,
 	"storage": true, "serve": true, "security": true, "shape": true, "cli": true,
-	"witness": true,
+	"witness": true, "roles": true, "clock": true,
 }
 
 // TestDecisionsHaveNoGoroutine holds the shape: state is owned by tasks, and
