Propose a leader's change of owners once, in its own term

Cause: a leader that was cut off went on repeating its change of owners through the next leader.

Also: entry VMs that start while no leader divides rates use an even part, by the number of entry VMs that the registry keeps.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -59,6 +59,23 @@
 		}
 	}
 	p.state = s
+	if !p.told && s.EntryVMs > 0 {
+		p.provide(now)
+	}
+}
+
+// provide gives this VM an even part of every rate until a leader divides them.
+// Load pattern: all VMs were lost at once, callers return before the leader
+// knows who is there.
+func (p *Pool) provide(now time.Time) {
+	p.entries, p.place = p.state.EntryVMs, p.state.EntryVMs
+	part := 1 / float64(p.state.EntryVMs)
+	for name, t := range p.state.Catalog.Tenants {
+		b := p.bucketOf(name)
+		if b.rate == 0 && !t.Dropped && t.Rate > 0 {
+			b.setShare(fleet.Share{Workspace: name, Rate: part * t.Rate, Burst: part * t.Burst}, now)
+		}
+	}
 }
 
 // Told takes news of the fleet.
--- a/internal/config/catalog.go
+++ b/internal/config/catalog.go
@@ -220,6 +220,18 @@
 	return nil
 }
 
+// CountEntryVMs keeps how many entry VMs there are, so that those that start
+// while no leader divides rates among them know what part they may use.
+type CountEntryVMs struct{ Count int }
+
+func (c CountEntryVMs) apply(next *State) error {
+	if c.Count <= 0 {
+		return result.New(result.InvalidChange, "%d entry VMs", c.Count)
+	}
+	next.EntryVMs = c.Count
+	return nil
+}
+
 // IsRetired reports whether a life of a target gets no new work.
 func (s *State) IsRetired(id core.TargetID, life core.Incarnation) bool {
 	r, ok := s.Retired[id]
--- a/internal/config/command.go
+++ b/internal/config/command.go
@@ -142,6 +142,7 @@
 		Evacuated:   maps.Clone(s.Evacuated),
 		Keys:        maps.Clone(s.Keys),
 		Retired:     maps.Clone(s.Retired),
+		EntryVMs:    s.EntryVMs,
 		Answered:    s.Answered.clone(),
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -109,7 +109,9 @@
 	Evacuated   map[core.DataCentre]bool  // data centres whose targets get no new work
 	Keys        map[core.Service]KeyTable // owners of the keys of keyed services
 	// Retired are targets that said that they leave; they get no new work.
-	Retired  map[core.TargetID]Retirement
+	Retired map[core.TargetID]Retirement
+	// EntryVMs is about how many entry VMs there are; 0: not known yet.
+	EntryVMs int
 	Answered Answers
 }
 
--- a/internal/configjson/configjson.go
+++ b/internal/configjson/configjson.go
@@ -35,6 +35,7 @@
 	config.AssignKeys{},
 	config.SplitKeys{},
 	config.RetireTarget{},
+	config.CountEntryVMs{},
 )
 
 func byName(values ...config.Change) map[string]reflect.Type {
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -144,6 +144,19 @@
 // reservePart of the bound is used, since requests travel for unequal times.
 const reservePart = 0.85
 
+// countPeriod is how old a tenure must be before it notes how many entry VMs
+// there are: by then all that live have reported and the others have expired.
+const countPeriod = entryTTL + reportSettle
+
+// CountDue returns the number of entry VMs if it differs from the noted one.
+func (b *Book) CountDue(s *config.State, now time.Time) (config.CountEntryVMs, bool) {
+	count := len(b.entries)
+	if count == 0 || count == s.EntryVMs || now.Sub(b.from) < countPeriod && s.EntryVMs != 0 {
+		return config.CountEntryVMs{}, false
+	}
+	return config.CountEntryVMs{Count: count}, now.Sub(b.from) >= reportSettle
+}
+
 func (b *Book) expireEntries(now time.Time) {
 	for vm, e := range b.entries {
 		if now.Sub(e.heardAt) > entryTTL {
--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -46,8 +46,10 @@
 	State   func() *config.State     // newest proved state of this replica
 	Tenure  func() leadership.Tenure // of the registry's lead
 	Propose func(ctx context.Context, c config.Command) (*config.State, error)
-	Control func(ctx context.Context) []core.VM // members of the registry
-	Record  func(event string, fields ...any)   // one line of the log; must not wait
+	// ProposeOnce must never be accepted in the term of a later leader.
+	ProposeOnce func(ctx context.Context, c config.Command) (*config.State, error)
+	Control     func(ctx context.Context) []core.VM // members of the registry
+	Record      func(event string, fields ...any)   // one line of the log; must not wait
 }
 
 // Task owns the book on a control VM. Only the leader's answers.
@@ -152,6 +154,8 @@
 	pushing bool
 	pushed  uint64
 	control []core.VM
+	// counting: a proposal of the number of entry VMs is under way.
+	counting bool
 }
 
 type waiter struct {
@@ -204,6 +208,10 @@
 		for _, change := range r.book.Plan(r.options.State(), now) {
 			r.propose(ctx, change)
 		}
+		if count, ok := r.book.CountDue(r.options.State(), now); ok && !r.counting {
+			r.counting = true
+			r.propose(ctx, count)
+		}
 		r.control = r.options.Control(ctx)
 		r.schedulePush()
 	}
@@ -221,7 +229,7 @@
 		r.options.Record("busy ranges are split", "service", c.Service, "at", len(c.At), "term", term)
 	}
 	go func() {
-		_, err := r.options.Propose(ctx, config.Command{Change: change, At: time.Now()})
+		_, err := r.options.ProposeOnce(ctx, config.Command{Change: change, At: time.Now()})
 		_ = r.mailbox.Send(ctx, settled{term, change, err}) // fails only when the task ends
 	}()
 }
@@ -251,6 +259,9 @@
 	if m.err != nil {
 		r.options.Record("change of owners failed", "err", m.err)
 	}
+	if _, ok := m.change.(config.CountEntryVMs); ok {
+		r.counting = false
+	}
 	assigned, ok := m.change.(config.AssignKeys)
 	if ok && m.term == r.book.Term() && (m.err == nil || result.From(m.err).Ran == result.NotRun) {
 		r.book.Settled(assigned)
--- a/internal/registry/task_propose.go
+++ b/internal/registry/task_propose.go
@@ -59,6 +59,25 @@
 	return version, err
 }
 
+// ProposeOnce asks this replica alone, once, and returns the state in force
+// after the change. It is for a decision of the leader that the next leader
+// must not find in its log later than at its election: a repeat through another
+// replica could be accepted after the decision's reasons ended.
+func (t *Task) ProposeOnce(ctx context.Context, c config.Command) (*config.State, error) {
+	if c.RequestID == "" {
+		c.RequestID = rand.Text()
+	}
+	data, err := t.options.Codec.EncodeCommand(c)
+	if err != nil {
+		return nil, result.Wrap(result.InvalidChange, err, "change")
+	}
+	version, err := t.ProposeHere(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	return t.reached(ctx, version)
+}
+
 func (t *Task) proposeOnce(ctx context.Context, command []byte) (core.Version, error) {
 	a := t.askLeader(ctx, func(r task.Reply[answer]) message { return proposal{command, r} })
 	if a.leader.VM != "" {
--- a/internal/roles/control.go
+++ b/internal/roles/control.go
@@ -81,7 +81,7 @@
 	}
 	c.leader = leadership.NewTask(self, c)
 	c.fleet = fleet.NewTask(fleet.Options{
-		Terms: o.Terms, State: c.replica.Current, Tenure: c.leader.Tenure, Propose: c.replica.Propose,
+		Terms: o.Terms, State: c.replica.Current, Tenure: c.leader.Tenure, Propose: c.replica.Propose, ProposeOnce: c.replica.ProposeOnce,
 		Control: c.members, Record: recorder(o.Logger),
 	})
 	if c.listener, err = net.Listen("tcp", o.Inner.Address); err != nil {
