--- a/internal/configjson/configjson.go
+++ b/internal/configjson/configjson.go
@@ -69,12 +69,20 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode %s: %w", kind, err)
 	}
-	return json.Marshal(wireCommand{c.RequestID, c.Expected, c.At, kind, change})
+	data, err := json.Marshal(wireCommand{c.RequestID, c.Expected, c.At, kind, change})
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", kind, err)
+	}
+	return pack(data)
 }
 
 // DecodeCommand reads what EncodeCommand writes. A type of change that a newer
 // daemon wrote is an error: skipping it would let replicas differ.
 func (Codec) DecodeCommand(data []byte) (config.Command, error) {
+	data, err := unpack(data)
+	if err != nil {
+		return config.Command{}, err
+	}
 	var w wireCommand
 	if err := json.Unmarshal(data, &w); err != nil {
 		return config.Command{}, fmt.Errorf("decode a command: %w", err)
@@ -97,10 +105,20 @@
 }
 
 // EncodeState returns the whole configuration.
-func (Codec) EncodeState(s *config.State) ([]byte, error) { return json.Marshal(s) }
+func (Codec) EncodeState(s *config.State) ([]byte, error) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode a configuration: %w", err)
+	}
+	return pack(data)
+}
 
 // DecodeState reads what EncodeState writes.
 func (Codec) DecodeState(data []byte) (*config.State, error) {
+	data, err := unpack(data)
+	if err != nil {
+		return nil, err
+	}
 	s := config.NewState()
 	if err := json.Unmarshal(data, s); err != nil {
 		return nil, fmt.Errorf("decode a configuration: %w", err)
--- a/internal/fleet/keys.go
+++ b/internal/fleet/keys.go
@@ -12,9 +12,13 @@
 	// settleTime is how long a tenure listens before it gives out keys that
 	// nobody holds, so that all targets get a part.
 	settleTime = 2 * time.Second
-	// rangesPerTarget divides the keys finely, so that neighbouring busy keys
-	// belong to different targets.
-	rangesPerTarget = 40
+	// firstRanges is about the number of ranges of the first table: fine, so that
+	// neighbouring busy keys belong to different targets, and few enough for the
+	// links of small entry VMs. Busy ranges are split later.
+	firstRanges = 1024
+	// minPerTarget and maxPerTarget bound the ranges of one target in it.
+	minPerTarget = 4
+	maxPerTarget = 40
 	// maxRanges bounds the ranges of one target: the answer to a heartbeat has
 	// a limited size (about 40 bytes a range).
 	maxRanges = 85
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -94,6 +94,9 @@
 // that leave.
 func (p *placement) assign() []config.KeyRange {
 	if len(p.table) == 0 {
+		if len(p.book.pending[p.service]) > 0 {
+			return nil // the first table is on its way
+		}
 		return p.firstTable()
 	}
 	p.revokeFromLeaving()
@@ -160,7 +163,8 @@
 
 // firstTable deals all keys out in turn, in the order of the targets' names.
 func (p *placement) firstTable() []config.KeyRange {
-	count := min(len(p.order)*rangesPerTarget, config.KeySpace)
+	each := min(max(firstRanges/len(p.order), minPerTarget), maxPerTarget)
+	count := min(len(p.order)*each, config.KeySpace)
 	ranges := make([]config.KeyRange, 0, count)
 	for i := range count {
 		o := p.order[i%len(p.order)]
@@ -207,10 +211,44 @@
 	if at := p.splits(total / float64(len(p.order))); len(at) > 0 {
 		return config.SplitKeys{Service: p.service, At: at}, true
 	}
-	p.moveFromSlow(total)
+	if !p.moveToEmpty() {
+		p.moveFromSlow(total)
+	}
 	return config.SplitKeys{}, false
 }
 
+// moveToEmpty revokes ranges for targets without any, from the targets with the
+// most, and reports whether there were such targets. Load pattern: targets are
+// added to a service that is not busy.
+func (p *placement) moveToEmpty() bool {
+	ranges, empty := 0, 0
+	for _, o := range p.order {
+		ranges += o.ranges
+		if o.ranges == 0 {
+			empty++
+		}
+	}
+	const emptyPart = 2 // a new target gets this part of the mean at first
+	wanted := empty * max(ranges/len(p.order)/emptyPart, 1)
+	if empty == 0 {
+		return false
+	}
+	byRanges := slices.Clone(p.order)
+	slices.SortStableFunc(byRanges, func(a, b *owner) int { return cmp.Compare(b.ranges, a.ranges) })
+	for _, from := range byRanges {
+		keep := from.ranges - max(wanted/len(p.order), 1)
+		for _, r := range p.busiest(from) {
+			if wanted == 0 || from.ranges <= max(keep, 1) {
+				break
+			}
+			from.revoke(r, p.now)
+			from.ranges--
+			wanted--
+		}
+	}
+	return true
+}
+
 // splits returns the keys at which ranges begin anew.
 func (p *placement) splits(mean float64) []uint32 {
 	var at []uint32
