Test the choice of targets, the relay, the catalog and the adapter

Change: tests of the promises, each named in its test; a refused caller is never told to return at once, which TestRateIsCharged found.

--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,296 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/fleet"
+	"github.com/comfreynotch/comfreynotch/internal/result"
+)
+
+const (
+	open  core.Service = "certdesk"
+	owned core.Service = "archivio"
+)
+
+var start = time.Unix(1000, 0)
+
+func testRoute(service core.Service) config.Route {
+	return config.Route{
+		Name: "lookup", Splits: []config.Split{{Service: service, Weight: 1}}, Objective: 300 * time.Millisecond,
+		Timeout: time.Second, Attempts: 2, Repeatable: true,
+	}
+}
+
+func testState(t *testing.T, changes ...config.Change) *config.State {
+	t.Helper()
+	state := config.NewState()
+	first := config.PatchCatalog{
+		Services: []config.TargetClass{
+			{Item: config.Item{Revision: 1}, Name: open, ColdRate: 12, ColdDuration: 3 * time.Second},
+			{Item: config.Item{Revision: 1}, Name: owned, ColdRate: 12, Keyed: true},
+		},
+		Tenants: []config.Tenancy{{Item: config.Item{Revision: 1}, Name: "lab", Rate: 100, Burst: 100}},
+	}
+	for _, c := range append([]config.Change{first}, changes...) {
+		next, err := state.Apply(config.Command{Change: c})
+		if err != nil {
+			t.Fatal(err)
+		}
+		state = next
+	}
+	return state
+}
+
+func testPool(state *config.State) *Pool {
+	p := NewPool("a", Bounds{
+		Cold: fleet.Cold{Overage: 1.5, Slack: 5}, BudgetRatio: 0.2, BudgetExtra: 60, BudgetWindow: 10 * time.Second,
+	}, rand.New(rand.NewPCG(1, 2)).Float64)
+	p.ConfigChanged(state, start)
+	return p
+}
+
+func stateOf(id string, service core.Service) fleet.TargetState {
+	return fleet.TargetState{Target: core.Target{
+		ID: core.TargetID(id), Service: service, DataCentre: "a", Address: id + ":80", Slots: 6, Incarnation: 1,
+	}, ColdAllowance: fleet.NoLimit}
+}
+
+func (p *Pool) tellAll(now time.Time, targets ...fleet.TargetState) {
+	p.Told(fleet.News{Term: 1, Entries: 10, Place: 3, Targets: targets}, now)
+}
+
+func request(service core.Service, now time.Time) Request {
+	return Request{Route: testRoute(service), Service: service, Deadline: now.Add(time.Second)}
+}
+
+// TestColdTargetGetsItsAllowance holds that a cold target gets no more in any
+// second than the leader allowed this VM, whoever asks.
+func TestColdTargetGetsItsAllowance(t *testing.T) {
+	is := is.New(t)
+	p := testPool(testState(t))
+	cold := stateOf("i-1", open)
+	cold.ColdFor, cold.ColdAllowance = 3*time.Second, 4
+	p.tellAll(start, cold)
+	var sent []time.Time
+	for ms := range 2900 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		c, _, err := p.Choose(request(open, now), uint64(ms), now)
+		if err != nil {
+			is.Equal(err.Ran, result.NotRun)
+			continue
+		}
+		sent = append(sent, now)
+		p.Done(Outcome{Ticket: c.Ticket, Target: "i-1", Life: 1, Route: testRoute(open), Latency: time.Millisecond, Answered: true, At: now})
+	}
+	is.True(len(sent) >= 8) // it is used
+	for i, first := range sent {
+		inWindow := 0
+		for _, at := range sent[i:] {
+			if at.Sub(first) <= time.Second {
+				inWindow++
+			}
+		}
+		is.True(inWindow <= 4)
+	}
+}
+
+// TestReturningTargetIsTriedAsCold holds that a target which failed and answers
+// again gets few requests until its own statement has arrived: it may have
+// restarted, and be cold.
+func TestReturningTargetIsTriedAsCold(t *testing.T) {
+	is := is.New(t)
+	p := testPool(testState(t))
+	p.tellAll(start, stateOf("i-1", open))
+	now := start
+	for i := range 4 { // it fails until its avoidance is long
+		now = now.Add(3 * time.Second)
+		c, _, err := p.Choose(request(open, now), uint64(i+1), now)
+		is.True(err == nil)
+		p.Done(Outcome{Ticket: c.Ticket, Target: "i-1", Life: 1, Route: testRoute(open), Failed: true, At: now})
+	}
+	now = now.Add(3 * time.Second)
+	sent := 0
+	for i := range 400 { // it is back: one second of many requests
+		at := now.Add(time.Duration(i) * 2500 * time.Microsecond)
+		c, _, err := p.Choose(request(open, at), uint64(100+i), at)
+		if err == nil {
+			sent++
+			p.Done(Outcome{Ticket: c.Ticket, Target: "i-1", Life: 1, Route: testRoute(open), Latency: time.Millisecond, Answered: true, At: at})
+		}
+	}
+	const total = 16 // over ten entry VMs: 12 x 1.5 + 5, less 7 for trials and travel
+	is.True(sent <= 1+max(total/10, 1))
+}
+
+// TestEvacuatedDataCentreGetsNothing holds that targets of a data centre that
+// operators took out get no work, and are cold for a while when it is back.
+func TestEvacuatedDataCentreGetsNothing(t *testing.T) {
+	is := is.New(t)
+	out := testState(t, config.SetEvacuated{DataCentre: "a", Evacuated: true})
+	p := testPool(out)
+	p.tellAll(start, stateOf("i-1", open))
+	_, _, err := p.Choose(request(open, start), 1, start)
+	is.Equal(err.Code, result.NoTarget)
+	p.ConfigChanged(testState(t), start)
+	sent := 0
+	for i := range 50 {
+		if _, _, err := p.Choose(request(open, start), uint64(10+i), start); err == nil {
+			sent++
+		}
+	}
+	is.True(sent > 0 && sent <= 2)
+}
+
+// TestRetiredTargetGetsNothing holds that a target which said that it leaves
+// gets no new work, also from a VM that heard it from the registry alone.
+func TestRetiredTargetGetsNothing(t *testing.T) {
+	is := is.New(t)
+	p := testPool(testState(t, config.RetireTarget{Target: "i-1", Life: 1}))
+	p.tellAll(start, stateOf("i-1", open))
+	_, _, err := p.Choose(request(open, start), 1, start)
+	is.Equal(err.Code, result.NoTarget)
+	reborn := stateOf("i-1", open)
+	reborn.Incarnation = 2
+	p.tellAll(start, reborn)
+	_, _, err = p.Choose(request(open, start), 2, start)
+	is.True(err == nil)
+}
+
+// TestKeyWaitsForItsOwnersGrant holds that a request goes to the owner of its
+// key alone, and waits while the owner has no grant of the newest fence.
+func TestKeyWaitsForItsOwnersGrant(t *testing.T) {
+	is := is.New(t)
+	state := testState(t, config.AssignKeys{Service: owned, Ranges: []config.KeyRange{{Last: config.KeySpace - 1, Owner: "i-1", Life: 1}}})
+	fence := state.Keys[owned][0].Fence
+	p := testPool(state)
+	p.tellAll(start, stateOf("i-1", owned), stateOf("i-2", owned))
+	r := request(owned, start)
+	r.HasKey, r.Key = true, 17
+	_, wait, err := p.Choose(r, 1, start)
+	is.True(err != nil && wait)
+	granted := stateOf("i-1", owned)
+	granted.Granted = fence
+	p.tellAll(start, granted)
+	c, _, err := p.Choose(r, 2, start)
+	is.True(err == nil)
+	is.Equal(c.Target.ID, core.TargetID("i-1"))
+	// A refusal by the owner stops further sends for a while.
+	p.Done(Outcome{Ticket: 2, Target: "i-1", Life: 1, Route: r.Route, Key: 17, Answered: true, NotOwner: true, At: start})
+	_, wait, err = p.Choose(r, 3, start.Add(10*time.Millisecond))
+	is.True(err != nil && wait)
+}
+
+// TestSlowTargetsGetLess replays 60 requests a second over targets of which one
+// takes five times as long and one fails: most requests go elsewhere.
+func TestSlowTargetsGetLess(t *testing.T) {
+	is := is.New(t)
+	p := testPool(testState(t))
+	var targets []fleet.TargetState
+	for i := range 6 {
+		targets = append(targets, stateOf(fmt.Sprint("i-", i), open))
+	}
+	p.tellAll(start, targets...)
+	type flight struct {
+		c      Choice
+		ends   time.Time
+		failed bool
+	}
+	var flying []flight
+	sent := map[core.TargetID]int{}
+	for i := range 60 * 20 {
+		now := start.Add(time.Duration(i) * time.Second / 60)
+		rest := flying[:0]
+		for _, f := range flying {
+			if f.ends.After(now) {
+				rest = append(rest, f)
+				continue
+			}
+			p.Done(Outcome{
+				Ticket: f.c.Ticket, Target: f.c.Target.ID, Life: 1, Route: testRoute(open), At: now,
+				Latency: 90 * time.Millisecond * time.Duration(slowness(f.c.Target.ID)), Answered: !f.failed, Failed: f.failed,
+			})
+		}
+		flying = rest
+		c, _, err := p.Choose(request(open, now), uint64(i+1), now)
+		if err != nil {
+			continue
+		}
+		if i > 60*5 { // after the first five seconds
+			sent[c.Target.ID]++
+		}
+		failed := c.Target.ID == "i-1"
+		flying = append(flying, flight{c, now.Add(90 * time.Millisecond * time.Duration(slowness(c.Target.ID))), failed})
+	}
+	healthy := sent["i-2"]
+	is.True(sent["i-0"] < healthy/2) // five times as slow
+	is.True(sent["i-1"] < healthy/4) // fails
+}
+
+func slowness(id core.TargetID) int {
+	if id == "i-0" {
+		return 5
+	}
+	return 1
+}
+
+// TestRateIsCharged holds that a VM admits no more than its share of a rate,
+// and that a refusal says when there is room.
+func TestRateIsCharged(t *testing.T) {
+	is := is.New(t)
+	p := testPool(testState(t))
+	p.Told(fleet.News{Term: 1, Entries: 10, Shares: []fleet.Share{{Workspace: "lab", Rate: 10, Burst: 5}}}, start)
+	r := request(open, start)
+	r.Workspace = "lab"
+	admitted := 0
+	for i := range 1000 { // 100 a second for ten seconds
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		err := p.Admit(r, now)
+		if err == nil {
+			admitted++
+			continue
+		}
+		is.Equal(err.Code, result.RateExceeded)
+		is.True(err.RetryAfter > 0)
+	}
+	is.True(admitted >= 100 && admitted <= 105)
+}
+
+// TestRepeatsStayInTheBudget holds that this VM repeats no more than its part
+// of what all may, in any window.
+func TestRepeatsStayInTheBudget(t *testing.T) {
+	is := is.New(t)
+	p := testPool(testState(t))
+	p.tellAll(start)
+	repeats := 0
+	for i := range 500 { // 50 a second for one window, each asks for a repeat
+		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
+		is.True(p.Admit(request(open, now), now) == nil)
+		if p.Repeat(open, now) {
+			repeats++
+		}
+	}
+	is.True(repeats > 20)
+	is.True(float64(repeats) <= 0.2*500+60.0/10)
+}
+
+// TestSplitKeepsItsWeights holds that a route's requests go to its services by
+// weight.
+func TestSplitKeepsItsWeights(t *testing.T) {
+	is := is.New(t)
+	p := testPool(testState(t))
+	r := testRoute(open)
+	r.Splits = []config.Split{{Service: open, Weight: 90}, {Service: owned, Weight: 10}}
+	got := map[core.Service]int{}
+	for range 1000 {
+		got[p.Split(r)]++
+	}
+	is.Equal(got[open], 900)
+	is.Equal(got[owned], 100)
+}
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -72,11 +72,19 @@
 		return 0, true
 	}
 	if b.rate <= 0 {
-		return time.Second, false
+		return noShareWait, false
 	}
-	return time.Duration((1 - b.tokens) / b.rate * float64(time.Second)), false
+	wait = time.Duration((1 - b.tokens) / b.rate * float64(time.Second))
+	return max(wait, minWait), false
 }
 
+// noShareWait is when a caller may return to a VM without a share of a rate:
+// the leader has divided it anew by then.
+const noShareWait = time.Second
+
+// minWait is the least time after which a refused caller may return.
+const minWait = 5 * time.Millisecond
+
 // budget bounds the repeats to one service, as this VM's part of what all may
 // send.
 type budget struct {
