--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -94,6 +94,7 @@
 	Last    Index
 	Members Members
 	Match   map[core.VM]Index // leader only: newest entry known on each peer's disk
+	Silent  map[core.VM]int   // leader only: ticks since each peer was heard
 }
 
 // Status returns the present status.
@@ -104,8 +105,9 @@
 	}
 	if c.role == Leader {
 		s.Match = map[core.VM]Index{c.config.Self: c.stable}
+		s.Silent = map[core.VM]int{}
 		for vm, p := range c.peers {
-			s.Match[vm] = p.match
+			s.Match[vm], s.Silent[vm] = p.match, p.silent
 		}
 	}
 	return s
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -12,6 +12,7 @@
 	snapshot int    // ticks left to wait for a snapshot's answer
 	quiet    bool   // no answer to an Append since the last heartbeat period began
 	active   bool   // heard since the last quorum check
+	silent   int    // ticks since it was heard
 	sequence uint64 // newest heartbeat round that it answered
 }
 
@@ -117,7 +118,7 @@
 	if c.role != Leader || p == nil {
 		return
 	}
-	p.active, p.quiet = true, false
+	p.active, p.quiet, p.silent = true, false, 0
 	p.snapshot = 0
 	if m.Reject {
 		if m.LogIndex > p.match {
@@ -165,6 +166,9 @@
 }
 
 func (c *Core) tickLeader() {
+	for _, p := range c.peers {
+		p.silent++
+	}
 	for _, p := range c.peers {
 		p.snapshot = max(0, p.snapshot-1)
 	}
@@ -216,7 +220,7 @@
 	if c.role != Leader || p == nil {
 		return
 	}
-	p.active = true
+	p.active, p.silent = true, 0
 	p.sequence = max(p.sequence, m.Sequence)
 	if p.match < c.log.last() && p.quiet {
 		// An Append or its answer may be lost: send again from what is known.
--- a/internal/roles/control.go
+++ b/internal/roles/control.go
@@ -197,7 +197,7 @@
 			period = joinPeriod
 			c.join(ctx)
 		case s.Leader == c.self.VM:
-			c.removeReplaced(ctx, s)
+			c.removeGone(ctx, s)
 		}
 		timer := time.NewTimer(period)
 		select {
@@ -227,22 +227,15 @@
 	}
 }
 
-func (c *Control) removeReplaced(ctx context.Context, s raft.Status) {
-	for _, m := range s.Members {
-		for _, o := range s.Members {
-			if m.VM == o.VM || m.Address != o.Address || o.Learner || m.VM == c.self.VM || !isOlder(m.VM, o.VM, s) {
-				continue
-			}
-			const attempt = 2 * time.Second
-			removeContext, cancel := context.WithTimeout(ctx, attempt)
-			err := c.replica.RemoveVoter(removeContext, m.VM)
-			cancel()
-			_ = level.Info(c.options.Logger).Log("msg", "removed a replaced replica", "replica", m.VM, "by", o.VM, "err", err)
-			return
-		}
+// removeGone removes one replica that is gone, if there is any.
+func (c *Control) removeGone(ctx context.Context, s raft.Status) {
+	gone, why, ok := goneReplica(s, len(c.options.Founders))
+	if !ok {
+		return
 	}
+	const attempt = 2 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, attempt)
+	defer cancel()
+	err := c.replica.RemoveVoter(ctx, gone)
+	_ = level.Info(c.options.Logger).Log("msg", "removed a replica", "replica", gone, "why", why, "err", err)
 }
-
-// isOlder reports whether replica m, at the same address as o, is the one that
-// is gone: it has less of the log than the other.
-func isOlder(m, o core.VM, s raft.Status) bool { return s.Match[m] < s.Match[o] }
