Elect soon after a start; tell refused callers of one token after the other

Callers of a workspace above its rate were all told of the next token, and came back to be refused again.

Ruled out: shares of rates after the restart (222 refusals of code 600, the VM knew no configuration yet, against 49 of code 200).

Test: TestAllRestartedElectSoon, TestRefusedCallersReturnInTurn.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -262,6 +262,27 @@
 	is.True(admitted >= 100 && admitted <= 105)
 }
 
+// TestRefusedCallersReturnInTurn replays a workspace that asks for eight times
+// its rate: the callers that are refused are told of one token after the other,
+// not all of the next one.
+func TestRefusedCallersReturnInTurn(t *testing.T) {
+	is := is.New(t)
+	p := testPool(testState(t))
+	p.Told(fleet.News{Term: 1, Entries: 10, Shares: []fleet.Share{{Workspace: "lab", Rate: 10, Burst: 1}}}, start)
+	r := request(open, start)
+	r.Workspace = "lab"
+	returns := map[int]int{} // by the tenth of a second
+	for i := range 160 {     // 80 a second for two seconds
+		now := start.Add(time.Duration(i) * time.Second / 80)
+		if err := p.Admit(r, now); err != nil {
+			returns[int(now.Add(err.RetryAfter).Sub(start)/(100*time.Millisecond))]++
+		}
+	}
+	for tenth := range 49 { // before the longest wait
+		is.True(returns[tenth] <= 2)
+	}
+}
+
 // TestRepeatsStayInTheBudget holds that this VM repeats no more than its part
 // of what all may, in any window.
 func TestRepeatsStayInTheBudget(t *testing.T) {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -67,7 +67,7 @@
 	b.ask(now)
 	if wait, ok := b.take(now); !ok {
 		e := result.New(result.RateExceeded, "workspace %s has no tokens here: share %.1f a second", r.Workspace, b.rate)
-		e.RetryAfter = p.spread(wait)
+		e.RetryAfter = wait
 		return e
 	}
 	return nil
@@ -104,7 +104,7 @@
 	expected := p.expected(best, r, now)
 	if left := r.Deadline.Sub(now); expected > left {
 		e := result.New(result.DeadlineInQueue, "target %s would need %s, %s are left", best.ID, expected, left)
-		e.RetryAfter = p.spread(expected / 4)
+		e.RetryAfter = p.spread(expected - left + minWait)
 		return Choice{}, false, e
 	}
 	if class.Keyed {
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -14,6 +14,7 @@
 	at          time.Time
 	asked       float64 // requests a second, moving average
 	askedAt     time.Time
+	promised    time.Time // token that the newest refused caller was told of
 }
 
 // demandMemory is the time constant of a workspace's demand.
@@ -64,7 +65,9 @@
 	return 1 / (x * x * x * x)
 }
 
-// take takes one token, or returns when there will be one.
+// take takes one token, or returns when there is likely to be one: after those
+// for all that were refused before. Load pattern: a workspace asks for many
+// times its rate; told of the next token, all would return for it at once.
 func (b *bucket) take(now time.Time) (wait time.Duration, ok bool) {
 	b.refill(now)
 	if b.tokens >= 1 {
@@ -74,10 +77,22 @@
 	if b.rate <= 0 {
 		return noShareWait, false
 	}
-	wait = time.Duration((1 - b.tokens) / b.rate * float64(time.Second))
-	return max(wait, minWait), false
+	each := time.Duration(float64(time.Second) / b.rate)
+	if next := now.Add(time.Duration((1 - b.tokens) * float64(each))); b.promised.Before(next) {
+		b.promised = next
+	} else {
+		b.promised = b.promised.Add(each)
+	}
+	if limit := now.Add(maxPromise); b.promised.After(limit) {
+		b.promised = limit
+	}
+	return max(b.promised.Sub(now), minWait), false
 }
 
+// maxPromise is the longest time after which a refused caller is told to
+// return; by then the demand is another.
+const maxPromise = 5 * time.Second
+
 // noShareWait is when a caller may return to a VM without a share of a rate:
 // the leader has divided it anew by then.
 const noShareWait = time.Second
--- a/internal/leadership/task.go
+++ b/internal/leadership/task.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	pollPeriod = 120 * time.Millisecond
+	pollPeriod = 90 * time.Millisecond
 	askTimeout = 500 * time.Millisecond
 )
 
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -50,8 +50,10 @@
 
 	role   Role
 	leader core.VM
-	commit Index
-	handed Index // newest entry that Actions carried as committed
+	// metLeader: some replica led while this one ran.
+	metLeader bool
+	commit    Index
+	handed    Index // newest entry that Actions carried as committed
 
 	elapsed int // ticks since the leader was heard, or since a leader's quorum check
 	beat    int // ticks since a leader's heartbeat
@@ -195,6 +197,12 @@
 	c.random ^= c.random >> 7
 	c.random ^= c.random << 17
 	c.timeout = c.config.ElectionTicks + int(c.random%uint64(c.config.ElectionTicks))
+	if !c.metLeader {
+		// Nobody is known to lead: after a loss of all replicas at once a vote
+		// that was split is repeated soon. A live leader is not disturbed, since
+		// its followers refuse the pre-vote.
+		c.timeout = 1 + int(c.random%uint64(c.config.ElectionTicks/2+1))
+	}
 }
 
 func (c *Core) send(m Message) {
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -7,6 +7,7 @@
 		c.term, c.vote = term, ""
 	}
 	c.role, c.leader = Follower, leader
+	c.metLeader = c.metLeader || leader != ""
 	c.peers, c.votes, c.reads, c.transferee = nil, nil, nil, ""
 	c.resetTimeout()
 }
@@ -72,6 +73,7 @@
 // (Raft, section 5.4.2).
 func (c *Core) becomeLeader() {
 	c.role, c.leader, c.votes = Leader, c.config.Self, nil
+	c.metLeader = true
 	c.elapsed, c.beat = 0, 0
 	c.peers = map[core.VM]*progress{}
 	c.readSequence = 0
--- a/internal/raft/failure_test.go
+++ b/internal/raft/failure_test.go
@@ -242,3 +242,27 @@
 	s.rounds(2) // two ticks; an election timeout has ten
 	is.True(s.leader() != "" && s.leader() != old)
 }
+
+// TestAllRestartedElectSoon holds that replicas which all lost power have a
+// leader again by the time at which they would first look for one otherwise,
+// also when their first votes are split.
+func TestAllRestartedElectSoon(t *testing.T) {
+	s := newSoup(t.Fatalf, 3, 0)
+	s.rounds(50)
+	const electionTicks = 10 // of the soup's replicas
+	for range 40 {
+		for _, vm := range s.vms {
+			s.crash(vm)
+		}
+		s.flying = nil
+		for _, vm := range s.vms {
+			s.start(vm)
+			s.replicas[vm].core.Campaign() // as a starting task does, all at the same moment
+			s.run(vm)
+		}
+		s.rounds(electionTicks)
+		if s.leader() == "" {
+			t.Fatal("no leader after all restarted")
+		}
+	}
+}
