--- a/internal/registry/task_propose.go
+++ b/internal/registry/task_propose.go
@@ -15,6 +15,9 @@
 
 const (
 	proposeTimeout = 8 * time.Second
+	// attemptTimeout bounds one attempt: a member that stops may take a question
+	// and never answer it. The request id makes another attempt safe.
+	attemptTimeout = time.Second
 	memberTimeout  = 60 * time.Second // a learner copies the log
 	retryPause     = 50 * time.Millisecond
 )
@@ -53,7 +56,9 @@
 	defer cancel()
 	var version core.Version
 	err := Retry(ctx, func() (err error) {
-		version, err = t.proposeOnce(ctx, command)
+		attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+		defer cancel()
+		version, err = t.proposeOnce(attempt, command)
 		return err
 	})
 	return version, err
