Address raft messages to a replica, hold heartbeats for the tenure, rejoin

The leader, 0.24 cores, answered the heartbeats of 459 targets with 'another leads' whenever its confirmation was late; each target then asked another VM at once, which kept it too busy to be confirmed. In the same logs: a replica that came up with an empty disk answered at its old address in the name of the replica before, whose votes it had forgotten; a learner was removed for having the address of the voter that it replaces; and a replica that was removed while it was cut off never asked to join again.

Change: batches of raft messages name the replica that is meant, another one refuses them; a heartbeat waits up to 700 ms for a tenure that has begun; the tenure is 600 ms again; a replica without a leader for 2 s asks whether it was removed.

--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -154,6 +154,7 @@
 	pushing bool
 	pushed  uint64
 	control []core.VM
+	held    []held
 	// counting: a proposal of the number of entry VMs is under way.
 	counting bool
 }
@@ -201,8 +202,47 @@
 	return true
 }
 
+const (
+	// maxHeldTime is how long a heartbeat waits for the tenure to be confirmed:
+	// its sender asks another VM after ackWindow, which costs more.
+	maxHeldTime = 700 * time.Millisecond
+	// maxHeld bounds the heartbeats that wait.
+	maxHeld = 2048
+)
+
+// held is a heartbeat that waits for the tenure to be confirmed.
+type held struct {
+	heartbeat
+	until time.Time
+}
+
+// mayLeadSoon reports whether this VM leads the registry, but not yet for
+// certain.
+func (r *run) mayLeadSoon() bool {
+	tenure := r.options.Tenure()
+	return !tenure.From.IsZero() && !tenure.Live(clock.Now())
+}
+
+// answerHeld answers the heartbeats that waited, once the tenure is certain or
+// they have waited for long enough. Load pattern: all targets report at once
+// after a restart, while the confirmations of a small VM come late.
+func (r *run) answerHeld(now time.Time) {
+	waiting := r.mayLeadSoon()
+	kept := r.held[:0]
+	for _, h := range r.held {
+		if waiting && now.Before(h.until) {
+			kept = append(kept, h)
+			continue
+		}
+		h.reply.Answer(r.heard(h.Heartbeat))
+	}
+	clear(r.held[len(kept):])
+	r.held = kept
+}
+
 func (r *run) tick(ctx context.Context) {
 	now := clock.Now()
+	r.answerHeld(now)
 	if r.leads() {
 		r.book.Expire(now)
 		for _, change := range r.book.Plan(r.options.State(), now) {
@@ -237,6 +277,10 @@
 func (r *run) handle(m message) {
 	switch m := m.(type) {
 	case heartbeat:
+		if r.mayLeadSoon() && len(r.held) < maxHeld {
+			r.held = append(r.held, held{m, clock.Now().Add(maxHeldTime)})
+			return
+		}
 		m.reply.Answer(r.heard(m.Heartbeat))
 	case farewell:
 		if !r.leads() {
--- a/internal/innerproto/registry.go
+++ b/internal/innerproto/registry.go
@@ -53,6 +53,11 @@
 	if s.replica == nil {
 		return nil, s.noReplica()
 	}
+	if core.VM(b.GetTo()) != s.self {
+		// A replica that lost its disk has another name at the same address: it
+		// must not answer for the votes and entries of the one before.
+		return nil, resultToTwirp(result.New(result.NotFound, "replica %s is not here, %s is", b.GetTo(), s.self))
+	}
 	from := raft.Member{VM: core.VM(b.GetFrom()), Address: b.GetFromAddress()}
 	messages := make([]raft.Message, len(b.GetMessages()))
 	for i, m := range b.GetMessages() {
--- a/internal/innerproto/registry_client.go
+++ b/internal/innerproto/registry_client.go
@@ -35,7 +35,7 @@
 
 // Send implements registry.Transport.
 func (c *RegistryClient) Send(ctx context.Context, to raft.Member, messages []raft.Message) ([]raft.Message, error) {
-	b := &innerpb.RaftBatch{From: string(c.self.VM), FromAddress: c.self.Address}
+	b := &innerpb.RaftBatch{From: string(c.self.VM), FromAddress: c.self.Address, To: string(to.VM)}
 	for _, m := range messages {
 		b.Messages = append(b.Messages, raftToWire(m))
 	}
--- a/internal/innerproto/registry_test.go
+++ b/internal/innerproto/registry_test.go
@@ -184,3 +184,19 @@
 		})
 	}
 }
+
+// TestReplicaAnswersForItselfAlone holds that a replica which took over the
+// address of another, after the loss of its disk, gives no vote and no
+// acknowledgement in the name of the one before.
+func TestReplicaAnswersForItselfAlone(t *testing.T) {
+	is := is.New(t)
+	nodes := newNodes(t, 0)
+	nodes[1].propose(t, "a")
+	client := NewRegistryClient(raft.Member{VM: "v01", Address: nodes[1].self.Address}, nodes[1].counter)
+	vote := raft.Message{Type: raft.PreVote, From: "v01", Term: 1 << 20, LogIndex: 1 << 20, LogTerm: 1 << 20}
+	former := raft.Member{VM: "former", Address: nodes[0].self.Address}
+	_, err := client.Send(t.Context(), former, []raft.Message{vote})
+	is.True(err != nil)
+	_, err = client.Send(t.Context(), nodes[0].self, []raft.Message{vote})
+	is.NoErr(err) // the replica that is meant takes it
+}
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -12,7 +12,7 @@
 const (
 	// tenureLength is how long a leader that a majority has confirmed acts as the
 	// only one.
-	tenureLength = 400 * time.Millisecond
+	tenureLength = 600 * time.Millisecond
 	// tenureMargin is for clocks of unequal rate, over one tenure.
 	tenureMargin = 50 * time.Millisecond
 )
--- a/internal/roles/control.go
+++ b/internal/roles/control.go
@@ -35,6 +35,9 @@
 	joinPeriod = 300 * time.Millisecond
 	// memberPeriod is the time between looks at the registry's members.
 	memberPeriod = 500 * time.Millisecond
+	// maxLeaderless is at how many looks in a row no leader may be known before
+	// a replica asks whether it was removed.
+	maxLeaderless = 4
 )
 
 // ControlOptions are the parts of a control VM.
@@ -188,12 +191,18 @@
 // keepMembers makes this replica a voter, and on the leader removes replicas
 // whose disk is gone: another one has joined from their address.
 func (c *Control) keepMembers(ctx context.Context) error {
+	leaderless := 0 // looks in a row at which no leader was known
 	for ctx.Err() == nil {
 		period := memberPeriod
 		s, err := c.replica.Status(ctx)
+		if err == nil && s.Leader == "" {
+			leaderless++
+		} else {
+			leaderless = 0
+		}
 		switch {
 		case err != nil:
-		case !s.Members.IsVoter(c.self.VM):
+		case !s.Members.IsVoter(c.self.VM), leaderless > maxLeaderless && c.wasRemoved(ctx):
 			period = joinPeriod
 			c.join(ctx)
 		case s.Leader == c.self.VM:
@@ -209,6 +218,24 @@
 	return ctx.Err()
 }
 
+// wasRemoved reports whether another replica says that this one is no member:
+// it was removed while it was cut off, and no leader sends to it any more.
+func (c *Control) wasRemoved(ctx context.Context) bool {
+	for _, address := range c.options.Inner.Seeds() {
+		if address == c.self.Address {
+			continue
+		}
+		askContext, cancel := context.WithTimeout(ctx, memberPeriod)
+		s, err := c.client.Members(askContext, address)
+		cancel()
+		if err == nil && s.Leader != "" {
+			_, member := s.Members.Find(c.self.VM)
+			return !member
+		}
+	}
+	return false
+}
+
 // join asks the control VMs from the settings one after the other.
 func (c *Control) join(ctx context.Context) {
 	for _, address := range c.options.Inner.Seeds() {
--- a/internal/roles/members.go
+++ b/internal/roles/members.go
@@ -17,7 +17,7 @@
 func goneReplica(s raft.Status, wanted int) (gone core.VM, why string, ok bool) {
 	for _, m := range s.Members {
 		for _, o := range s.Members {
-			if m.VM != s.Self && m.VM != o.VM && m.Address == o.Address && !o.Learner && s.Match[m.VM] < s.Match[o.VM] {
+			if m.VM != s.Self && m.VM != o.VM && m.Address == o.Address && !m.Learner && !o.Learner && s.Match[m.VM] < s.Match[o.VM] {
 				return m.VM, "another has joined from its address", true
 			}
 		}
--- a/internal/roles/members_test.go
+++ b/internal/roles/members_test.go
@@ -29,12 +29,16 @@
 		match   map[core.VM]raft.Index
 		gone    core.VM
 	}{
-		"all live":                {voters("a", "b", "c"), nil, nil, ""},
-		"one restarts":            {voters("a", "b", "c"), map[core.VM]int{"c": long}, nil, ""},
-		"disk lost":               {voters("a", "b", "c", "c#2"), map[core.VM]int{"c": short}, map[core.VM]raft.Index{"c": 5, "c#2": 9}, "c"},
-		"silent, one has joined":  {voters("a", "b", "c", "d"), map[core.VM]int{"c": long}, nil, "c"},
-		"joined, but not silent":  {voters("a", "b", "c", "d"), map[core.VM]int{"c": short}, nil, ""},
-		"two silent of four":      {voters("a", "b", "c", "d"), map[core.VM]int{"c": long, "d": long}, nil, ""},
+		"all live":               {voters("a", "b", "c"), nil, nil, ""},
+		"one restarts":           {voters("a", "b", "c"), map[core.VM]int{"c": long}, nil, ""},
+		"disk lost":              {voters("a", "b", "c", "c#2"), map[core.VM]int{"c": short}, map[core.VM]raft.Index{"c": 5, "c#2": 9}, "c"},
+		"silent, one has joined": {voters("a", "b", "c", "d"), map[core.VM]int{"c": long}, nil, "c"},
+		"joined, but not silent": {voters("a", "b", "c", "d"), map[core.VM]int{"c": short}, nil, ""},
+		"two silent of four":     {voters("a", "b", "c", "d"), map[core.VM]int{"c": long, "d": long}, nil, ""},
+		"learner at its address": {
+			append(voters("a", "b", "c"), raft.Member{VM: "c#2", Address: "c", Learner: true}),
+			nil, map[core.VM]raft.Index{"c": 9, "c#2": 1}, "",
+		},
 		"the leader stays itself": {voters("a", "a#2", "b", "c"), nil, map[core.VM]raft.Index{"a": 5, "a#2": 9}, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
