Serve one whole state to many entry VMs, over slow links

A whole state was encoded anew for each version while owners of keys changed many times a second, and an asker gave up after 500 ms, less than the state takes on a link of 2 Mbit/s shared by its neighbours.

Change: an older whole state is served while the commands since are held; the first answer may take 3 s; a proposal that is never repeated carries no id, which took most of a stored state.

Test: TestManyAskersShareOneWholeState.

--- /dev/null
+++ b/internal/configsync/snapshot_test.go
@@ -0,0 +1,63 @@
+package configsync_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreynotch/comfreynotch/internal/clock"
+	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/configjson"
+	"github.com/comfreynotch/comfreynotch/internal/configsync"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+)
+
+// countingCodec counts the whole states that are encoded.
+type countingCodec struct {
+	configjson.Codec
+	states *int
+}
+
+func (c countingCodec) EncodeState(s *config.State) ([]byte, error) {
+	*c.states++
+	return c.Codec.EncodeState(s)
+}
+
+// TestManyAskersShareOneWholeState replays a restart of all entry VMs while the
+// configuration changes quickly: each asks for a whole state, which is made once,
+// and has the newest version after one more question.
+func TestManyAskersShareOneWholeState(t *testing.T) {
+	is := is.New(t)
+	states := 0
+	counting := countingCodec{states: &states}
+	source := configsync.NewTask(counting, func(*config.State) {})
+	go func() { _ = source.Serve(t.Context()) }()
+	state := config.NewState()
+	for i := range 200 {
+		data, err := codec.EncodeCommand(config.Command{Change: config.PutWorkspace{Workspace: config.Workspace{
+			Name: core.Workspace(fmt.Sprint("w", i)), Rate: 1,
+		}}})
+		is.NoErr(err)
+		command, err := codec.DecodeCommand(data)
+		is.NoErr(err)
+		state, err = state.Apply(command)
+		is.NoErr(err)
+		update := configsync.Update{State: state, ConfirmedAt: clock.Now(), Confirmed: true}
+		if i > 0 { // the first came whole: there are no commands from version 0 on
+			update.Commands = []configsync.Accepted{{Version: state.Version, Command: data}}
+		}
+		source.Offer(update)
+		first, err := source.Watch(t.Context(), configsync.Question{})
+		is.NoErr(err)
+		asker, err := configsync.Merge(config.NewState(), first, codec)
+		is.NoErr(err)
+		second, err := source.Watch(t.Context(), configsync.Question{Version: asker.Version})
+		is.NoErr(err)
+		asker, err = configsync.Merge(asker, second, codec)
+		is.NoErr(err)
+		is.Equal(asker.Version, state.Version)
+		is.True(second.Proved)
+	}
+	is.Equal(states, 1)
+}
--- a/internal/configsync/task.go
+++ b/internal/configsync/task.go
@@ -31,7 +31,8 @@
 	confirmed   bool
 	confirmedAt time.Time
 	history     history
-	snapshot    []byte // of newest, made when first asked for
+	snapshot    []byte // a whole state, made when first asked for
+	snapshotAt  core.Version
 	waiters     []waiter
 }
 
@@ -152,7 +153,7 @@
 	t.confirmed = t.confirmed || u.Confirmed
 	if u.State.Version > t.newest.Version {
 		t.history.add(u.State.Version, u.Commands)
-		t.newest, t.snapshot = u.State, nil
+		t.newest = u.State
 	} else if !first {
 		return
 	}
@@ -206,8 +207,14 @@
 		a.Commands = commands
 		return a
 	}
-	if t.snapshot == nil {
+	if _, ok := t.history.since(t.snapshotAt); !ok || t.snapshot == nil {
 		t.snapshot, _ = t.codec.EncodeState(t.newest) // an empty answer makes the asker try another
+		t.snapshotAt = t.newest.Version
+	}
+	if t.snapshotAt < t.newest.Version {
+		// An older whole state serves many askers, and the commands since then
+		// are in the answer to their next question. It proves nothing.
+		a.Version, a.Proved, a.Age = t.snapshotAt, false, 0
 	}
 	a.Snapshot = t.snapshot
 	return a
--- a/internal/configsync/task_poll.go
+++ b/internal/configsync/task_poll.go
@@ -14,7 +14,7 @@
 const (
 	holdTime     = time.Second
 	pollTimeout  = 2 * time.Second
-	firstTimeout = 500 * time.Millisecond // while nothing is confirmed
+	firstTimeout = 3 * time.Second // while nothing is confirmed: a whole state over a slow link
 	failurePause = 200 * time.Millisecond
 	rereadPause  = 20 * time.Millisecond
 	votesPause   = time.Second // between looks whether the own replica is up to date
--- a/internal/registry/task_propose.go
+++ b/internal/registry/task_propose.go
@@ -69,10 +69,7 @@
 // must not find in its log later than at its election: a repeat through another
 // replica could be accepted after the decision's reasons ended.
 func (t *Task) ProposeOnce(ctx context.Context, c config.Command) (*config.State, error) {
-	if c.RequestID == "" {
-		c.RequestID = rand.Text()
-	}
-	data, err := t.options.Codec.EncodeCommand(c)
+	data, err := t.options.Codec.EncodeCommand(c) // without a request id: it is never sent again
 	if err != nil {
 		return nil, result.Wrap(result.InvalidChange, err, "change")
 	}
