--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -55,7 +55,7 @@
 func (p *Pool) ConfigChanged(s *config.State, now time.Time) {
 	for _, t := range p.targets {
 		if p.state.Evacuated[t.DataCentre] && !s.Evacuated[t.DataCentre] {
-			t.coldAtMost(now.Add(probation))
+			t.treatAsCold(now.Add(probation))
 		}
 	}
 	p.state = s
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -55,12 +55,12 @@
 	if b.askedAt.IsZero() {
 		return 0
 	}
-	return b.asked * decay2(now.Sub(b.askedAt), demandMemory)
+	return b.asked * exponentialDecay(now.Sub(b.askedAt), demandMemory)
 }
 
-// decay2 is exponential decay, approximated so that it needs no exponential:
+// exponentialDecay is exponential decay, approximated so that it needs no exponential:
 // (1 + x/4)^-4.
-func decay2(age, memory time.Duration) float64 {
+func exponentialDecay(age, memory time.Duration) float64 {
 	x := 1 + float64(age)/float64(memory)/4
 	return 1 / (x * x * x * x)
 }
@@ -113,7 +113,7 @@
 		b = &budget{at: now}
 		p.budgets[s] = b
 	}
-	d := decay2(now.Sub(b.at), p.bounds.BudgetWindow/2)
+	d := exponentialDecay(now.Sub(b.at), p.bounds.BudgetWindow/2)
 	b.requests, b.repeats, b.at = b.requests*d, b.repeats*d, now
 	return b
 }
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -68,18 +68,18 @@
 		return own * min(peers, 2)
 	}
 	reported := float64(t.load.Running+t.load.Waiting) + float64(t.inFlight-t.loadFlight)
-	weight := decay(now.Sub(t.loadAt), loadMemory)
+	weight := hyperbolicDecay(now.Sub(t.loadAt), loadMemory)
 	return max(own, reported*weight+own*(1-weight))
 }
 
 // slowness is how much longer work takes on the target's machine now.
 func (t *target) slowness(now time.Time) float64 {
-	weight := decay(now.Sub(t.loadAt), slownessMemory)
+	weight := hyperbolicDecay(now.Sub(t.loadAt), slownessMemory)
 	return 1 + (t.load.Slowness-1)*weight
 }
 
-// decay is the weight that knowledge of an age has left.
-func decay(age, memory time.Duration) float64 {
+// hyperbolicDecay is the weight that knowledge of an age has left.
+func hyperbolicDecay(age, memory time.Duration) float64 {
 	if age <= 0 {
 		return 1
 	}
@@ -97,13 +97,13 @@
 // may be cold without anybody having heard it yet.
 func (t *target) works(now time.Time) {
 	if t.backoff > firstBackoff {
-		t.coldAtMost(now.Add(probation))
+		t.treatAsCold(now.Add(probation))
 	}
 	t.backoff, t.avoidUntil = 0, time.Time{}
 }
 
-// coldAtMost treats the target as cold until a time, if it is not for longer.
-func (t *target) coldAtMost(until time.Time) {
+// treatAsCold treats the target as cold until a time, if it is not for longer.
+func (t *target) treatAsCold(until time.Time) {
 	if until.After(t.probationEnd) {
 		t.probationEnd = until
 	}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -28,5 +28,5 @@
 	}
 	// The two readings are some microseconds apart; whole milliseconds keep
 	// that out of differences.
-	return (time.Duration(boot.Nano() - monotonic.Nano())).Truncate(time.Millisecond)
+	return time.Duration(boot.Nano() - monotonic.Nano()).Truncate(time.Millisecond)
 }
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -66,14 +66,14 @@
 	Record   func(Event) // must not wait
 }
 
-// flight is one sending under way.
-type flight struct {
+// sending is one sending under way.
+type sending struct {
 	choice balance.Choice
 	cancel context.CancelFunc
 }
 
-type landed struct {
-	flight
+type finished struct {
+	sending
 	sent Sent
 }
 
@@ -81,19 +81,19 @@
 type attempt struct {
 	*Relay
 	*Call
-	service core.Service
-	history history
-	tried   []core.TargetID
-	results chan landed
-	flying  []flight
-	last    Sent // newest failure
+	service  core.Service
+	history  history
+	tried    []core.TargetID
+	results  chan finished
+	inFlight []sending
+	last     Sent // newest failure
 }
 
 // Serve returns the answer of a target, or an error that says whether the
 // request may have run.
 func (r *Relay) Serve(ctx context.Context, c *Call) (*exchange.Answer, error) {
 	a := &attempt{
-		Relay: r, Call: c, results: make(chan landed, max(c.Route.Attempts, 1)+maxUnrunSends),
+		Relay: r, Call: c, results: make(chan finished, max(c.Route.Attempts, 1)+maxUnrunSends),
 		history: history{attempts: max(c.Route.Attempts, 1), repeatable: c.Repeatable},
 	}
 	defer a.cancelAll()
@@ -131,19 +131,19 @@
 	a.Record(Event{Call: a.Call, What: "chosen", Choice: choice, Service: service, Sends: a.history.sends})
 	a.tried = append(a.tried, choice.Target.ID)
 	sendContext, cancel := context.WithDeadline(ctx, a.Deadline)
-	f := flight{choice, cancel}
-	a.flying = append(a.flying, f)
+	f := sending{choice, cancel}
+	a.inFlight = append(a.inFlight, f)
 	go func() {
 		start := clock.Now()
 		sent := a.Sender.Send(sendContext, choice.Target, a.Call)
 		a.Balancer.Done(a.outcomeOf(ctx, f, sent, start))
-		a.results <- landed{f, sent}
+		a.results <- finished{f, sent}
 	}()
 	return nil
 }
 
 // outcomeOf tells the balancer what a sending showed of its target.
-func (a *attempt) outcomeOf(ctx context.Context, f flight, sent Sent, start time.Time) balance.Outcome {
+func (a *attempt) outcomeOf(ctx context.Context, f sending, sent Sent, start time.Time) balance.Outcome {
 	now := clock.Now()
 	o := balance.Outcome{
 		Ticket: f.choice.Ticket, Target: f.choice.Target.ID, Life: f.choice.Target.Incarnation, Route: a.Route,
@@ -172,18 +172,18 @@
 // await waits for an outcome and reports whether the request ends with it. A
 // repeatable request is sent to another target when the first stays silent.
 func (a *attempt) await(ctx context.Context) bool {
-	hedge := time.NewTimer(a.flying[len(a.flying)-1].choice.Patience)
+	hedge := time.NewTimer(a.inFlight[len(a.inFlight)-1].choice.Patience)
 	defer hedge.Stop()
 	for {
 		select {
 		case l := <-a.results:
-			a.flying = slices.DeleteFunc(a.flying, func(f flight) bool { return f.choice.Ticket == l.choice.Ticket })
+			a.inFlight = slices.DeleteFunc(a.inFlight, func(f sending) bool { return f.choice.Ticket == l.choice.Ticket })
 			l.cancel()
 			a.last = l.sent
 			if a.history.ended(l.sent) {
 				return true
 			}
-			if len(a.flying) > 0 {
+			if len(a.inFlight) > 0 {
 				continue
 			}
 			if !a.history.again(l.sent, a.Deadline.Sub(clock.Now())) || ctx.Err() != nil {
@@ -204,7 +204,7 @@
 }
 
 func (a *attempt) cancelAll() {
-	for _, f := range a.flying {
+	for _, f := range a.inFlight {
 		f.cancel()
 	}
 }
--- a/internal/roles/members_test.go
+++ b/internal/roles/members_test.go
@@ -37,7 +37,9 @@
 		"two silent of four":     {voters("a", "b", "c", "d"), map[core.VM]int{"c": long, "d": long}, nil, ""},
 		"learner at its address": {
 			append(voters("a", "b", "c"), raft.Member{VM: "c#2", Address: "c", Learner: true}),
-			nil, map[core.VM]raft.Index{"c": 9, "c#2": 1}, "",
+			nil,
+			map[core.VM]raft.Index{"c": 9, "c#2": 1},
+			"",
 		},
 		"the leader stays itself": {voters("a", "a#2", "b", "c"), nil, map[core.VM]raft.Index{"a": 5, "a#2": 9}, ""},
 	} {
