Keep a cold target's allowance while the leader is young

Change: only as many VMs send as the allowance has requests, by their places.

Test: TestYoungLeaderKeepsAColdTargetsAllowance fails without it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -120,7 +120,7 @@
 	case s.ColdAllowance != fleet.Undecided:
 		t.allowance = s.ColdAllowance
 	case !wasCold:
-		t.allowance = 1 // the least that keeps it in use
+		t.allowance = p.allowanceByPlace(t)
 	}
 }
 
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -129,6 +129,28 @@
 	is.True(sent <= 1+max(total/10, 1))
 }
 
+// TestYoungLeaderKeepsAColdTargetsAllowance holds that entry VMs together stay
+// within a cold target's allowance while the leader does not know all of them:
+// only as many send as the allowance has requests.
+func TestYoungLeaderKeepsAColdTargetsAllowance(t *testing.T) {
+	is := is.New(t)
+	const entries, total = 61, 16 // 12 x 1.5 + 5, less 7 for trials and travel
+	sent := 0
+	for place := range entries {
+		p := testPool(testState(t))
+		p.Told(fleet.News{Term: 1, Entries: entries, Place: place}, start)
+		cold := stateOf("i-1", open)
+		cold.ColdFor, cold.ColdAllowance = 3*time.Second, fleet.Undecided
+		p.Told(fleet.News{Term: 2, Targets: []fleet.TargetState{cold}}, start)
+		for i := range 5 {
+			if _, _, err := p.Choose(request(open, start), uint64(i+1), start); err == nil {
+				sent++
+			}
+		}
+	}
+	is.True(sent > 0 && sent <= total)
+}
+
 // TestEvacuatedDataCentreGetsNothing holds that targets of a data centre that
 // operators took out get no work, and are cold for a while when it is back.
 func TestEvacuatedDataCentreGetsNothing(t *testing.T) {
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -136,12 +136,19 @@
 const coldWindow = 1100 * time.Millisecond
 
 // coldAllowance is how many requests this VM may send to t in one second: what
-// the leader allowed, or on probation, of which the leader does not know, a
-// place among the entry VMs.
+// the leader allowed, or on probation, of which the leader does not know, its
+// part by its place among the entry VMs.
 func (p *Pool) coldAllowance(t *target, now time.Time) int {
 	if t.coldUntil.After(now) {
 		return t.allowance
 	}
+	return p.allowanceByPlace(t)
+}
+
+// allowanceByPlace is this VM's part of a cold target's allowance while no
+// leader has divided it: the first VMs have one, as many as the allowance has
+// requests.
+func (p *Pool) allowanceByPlace(t *target) int {
 	class, _ := p.state.Catalog.Service(t.Service)
 	total, limited := p.bounds.Cold.ColdTotal(class)
 	switch {
