--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -73,7 +73,7 @@
 	for name, t := range p.state.Catalog.Tenants {
 		b := p.bucketOf(name)
 		if b.rate == 0 && !t.Dropped && t.Rate > 0 {
-			b.setShare(fleet.Share{Workspace: name, Rate: part * t.Rate, Burst: part * t.Burst}, now)
+			b.setShare(fleet.Share{Workspace: name, Rate: part * t.Rate, Burst: max(part*t.Burst, 1)}, now)
 		}
 	}
 }
@@ -145,7 +145,9 @@
 		}
 	}
 	for name, b := range p.buckets {
-		r.Demand = append(r.Demand, fleet.Demand{Workspace: name, Rate: b.demand(now), Held: b.rate})
+		if d := b.demand(now); d >= leastDemand || b.rate > 0 {
+			r.Demand = append(r.Demand, fleet.Demand{Workspace: name, Rate: d, Held: b.rate})
+		}
 	}
 	return r
 }
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -11,6 +11,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/fleet"
+	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/result"
 )
 
@@ -262,6 +263,16 @@
 	return 1
 }
 
+// admitAlone admits r where the leader has no tokens beside the shares.
+func (p *Pool) admitAlone(r Request, now time.Time) *result.Error {
+	draw, err := p.Admit(r, now)
+	if !draw {
+		return err
+	}
+	p.Supplied(quota.Supply{Workspace: r.Workspace, RetryAfter: time.Second}, 1, now)
+	return p.rateExceeded(r.Workspace, now)
+}
+
 // TestRateIsCharged holds that a VM admits no more than its share of a rate,
 // and that a refusal says when there is room.
 func TestRateIsCharged(t *testing.T) {
@@ -273,7 +284,7 @@
 	admitted := 0
 	for i := range 1000 { // 100 a second for ten seconds
 		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
-		err := p.Admit(r, now)
+		err := p.admitAlone(r, now)
 		if err == nil {
 			admitted++
 			continue
@@ -296,7 +307,7 @@
 	returns := map[int]int{} // by the tenth of a second
 	for i := range 160 {     // 80 a second for two seconds
 		now := start.Add(time.Duration(i) * time.Second / 80)
-		if err := p.Admit(r, now); err != nil {
+		if err := p.admitAlone(r, now); err != nil {
 			returns[int(now.Add(err.RetryAfter).Sub(start)/(100*time.Millisecond))]++
 		}
 	}
@@ -314,7 +325,7 @@
 	repeats := 0
 	for i := range 500 { // 50 a second for one window, each asks for a repeat
 		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
-		is.True(p.Admit(request(open, now), now) == nil)
+		is.True(p.admitAlone(request(open, now), now) == nil)
 		if p.Repeat(open, now) {
 			repeats++
 		}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -53,26 +53,6 @@
 	return w
 }
 
-// Admit charges a request to its workspace's rate.
-func (p *Pool) Admit(r Request, now time.Time) *result.Error {
-	p.budgetOf(r.Service, now).requests++
-	if r.Workspace == "" {
-		return nil
-	}
-	tenant := p.state.Catalog.Tenants[r.Workspace]
-	if tenant.Rate <= 0 {
-		return nil
-	}
-	b := p.bucketOf(r.Workspace)
-	b.ask(now)
-	if wait, ok := b.take(now); !ok {
-		e := result.New(result.RateExceeded, "workspace %s has no tokens here: share %.1f a second", r.Workspace, b.rate)
-		e.RetryAfter = wait
-		return e
-	}
-	return nil
-}
-
 // spread makes callers that are refused together return one after the other.
 func (p *Pool) spread(wait time.Duration) time.Duration {
 	return time.Duration(float64(wait) * (1 + p.random()))
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -11,15 +11,21 @@
 type bucket struct {
 	rate, burst float64
 	tokens      float64
+	shared      bool // it had a share before; its first one begins full
 	at          time.Time
 	asked       float64 // requests a second, moving average
 	askedAt     time.Time
 	promised    time.Time // token that the newest refused caller was told of
+	drawAt      time.Time // no draw from the leader before
 }
 
 // demandMemory is the time constant of a workspace's demand.
 const demandMemory = 2 * time.Second
 
+// leastDemand is the demand below which nothing is reported, in requests a
+// second: one request some ten seconds ago.
+const leastDemand = 0.005
+
 func (p *Pool) bucketOf(w core.Workspace) *bucket {
 	b := p.buckets[w]
 	if b == nil {
@@ -31,10 +37,10 @@
 
 func (b *bucket) setShare(s fleet.Share, now time.Time) {
 	b.refill(now)
-	if b.burst == 0 {
-		b.tokens = s.Burst
+	if !b.shared {
+		b.tokens, b.shared = s.Burst, true
 	}
-	b.rate, b.burst = s.Rate, max(s.Burst, 1)
+	b.rate, b.burst = s.Rate, s.Burst
 	b.tokens = min(b.tokens, b.burst)
 }
 
@@ -65,17 +71,22 @@
 	return 1 / (x * x * x * x)
 }
 
-// take takes one token, or returns when there is likely to be one: after those
-// for all that were refused before. Load pattern: a workspace asks for many
-// times its rate; told of the next token, all would return for it at once.
-func (b *bucket) take(now time.Time) (wait time.Duration, ok bool) {
+// take takes one token.
+func (b *bucket) take(now time.Time) bool {
 	b.refill(now)
-	if b.tokens >= 1 {
-		b.tokens--
-		return 0, true
+	if b.tokens < 1 {
+		return false
 	}
+	b.tokens--
+	return true
+}
+
+// nextToken returns when a refused caller is likely to find a token: after
+// those for all that were refused before. Load pattern: a workspace asks for
+// many times its rate; told of the next token, all would return for it at once.
+func (b *bucket) nextToken(now time.Time) time.Duration {
 	if b.rate <= 0 {
-		return noShareWait, false
+		return noShareWait
 	}
 	each := time.Duration(float64(time.Second) / b.rate)
 	if next := now.Add(time.Duration((1 - b.tokens) * float64(each))); b.promised.Before(next) {
@@ -86,7 +97,7 @@
 	if limit := now.Add(maxPromise); b.promised.After(limit) {
 		b.promised = limit
 	}
-	return max(b.promised.Sub(now), minWait), false
+	return max(b.promised.Sub(now), minWait)
 }
 
 // maxPromise is the longest time after which a refused caller is told to
--- a/internal/balance/task.go
+++ b/internal/balance/task.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/clock"
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/fleet"
+	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/result"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
@@ -18,16 +20,26 @@
 	reviewPeriod = 25 * time.Millisecond // between looks at requests that wait for an owner
 	maxWaiting   = 512                   // requests that wait for an owner
 	reportPeriod = 200 * time.Millisecond
+	// drawTimeout bounds the wait for the leader's tokens: some round trips
+	// between data centres, and a small part of what a caller waits for.
+	drawTimeout = 150 * time.Millisecond
 )
 
+// Options are the parts of a Task.
+type Options struct {
+	Self   core.VM
+	Home   core.DataCentre
+	Bounds Bounds
+	Seed   uint64 // of choices among equals
+	// Draw asks the leader for tokens of workspaces.
+	Draw func(ctx context.Context, wants []quota.Want) ([]quota.Supply, error)
+}
+
 // Task owns the pool of an entry VM.
 type Task struct {
+	options Options
 	mailbox task.Mailbox[message]
 	report  task.Snapshot[fleet.Report]
-	self    core.VM
-	home    core.DataCentre
-	bounds  Bounds
-	seed    uint64
 }
 
 type message interface{ isMessage() }
@@ -48,6 +60,11 @@
 	told          struct{ fleet.News }
 	configChanged struct{ state *config.State }
 	cancelled     struct{ reply task.Reply[chosen] }
+	drawn         struct {
+		wants    []quota.Want
+		supplies []quota.Supply
+		err      error
+	}
 )
 
 func (choose) isMessage()        {}
@@ -55,13 +72,14 @@
 func (told) isMessage()          {}
 func (configChanged) isMessage() {}
 func (cancelled) isMessage()     {}
+func (drawn) isMessage()         {}
 
 // NewTask returns a task that is not running yet.
-func NewTask(self core.VM, home core.DataCentre, bounds Bounds, seed uint64) *Task {
+func NewTask(o Options) *Task {
 	return &Task{
+		options: o,
 		mailbox: task.NewMailbox[message]("balance", mailboxSize),
-		report:  task.NewSnapshot(&fleet.Report{VM: self}),
-		self:    self, home: home, bounds: bounds, seed: seed,
+		report:  task.NewSnapshot(&fleet.Report{VM: o.Self}),
 	}
 }
 
@@ -98,12 +116,16 @@
 	*Task
 	pool    *Pool
 	ticket  uint64
-	waiting []choose
+	waiting []choose // for the owner of a key
+	// tokenless are the requests that wait for tokens from the leader.
+	tokenless []choose
+	drawing   bool
 }
 
 // Serve runs the task until ctx ends.
 func (t *Task) Serve(ctx context.Context) error {
-	r := &run{Task: t, pool: NewPool(t.home, t.bounds, rand.New(rand.NewPCG(t.seed, 0)).Float64)}
+	o := t.options
+	r := &run{Task: t, pool: NewPool(o.Home, o.Bounds, rand.New(rand.NewPCG(o.Seed, 0)).Float64)}
 	review := time.NewTicker(reviewPeriod)
 	defer review.Stop()
 	ticks := 0
@@ -114,11 +136,12 @@
 		case <-review.C:
 			r.review()
 			if ticks++; ticks%int(reportPeriod/reviewPeriod) == 0 {
-				report := r.pool.Report(t.self, clock.Now())
+				report := r.pool.Report(o.Self, clock.Now())
 				t.report.Publish(&report)
 			}
 		case m := <-t.mailbox.C():
 			r.handle(m)
+			r.draw(ctx)
 		}
 	}
 }
@@ -137,6 +160,8 @@
 		r.review()
 	case cancelled:
 		r.cancel(m.reply)
+	case drawn:
+		r.supplied(m)
 	}
 }
 
@@ -144,14 +169,24 @@
 	now := clock.Now()
 	if m.first {
 		m.Service = r.pool.Split(m.Route)
-		if err := r.pool.Admit(m.Request, now); err != nil {
+		draw, err := r.pool.Admit(m.Request, now)
+		switch {
+		case err != nil:
 			m.reply.Answer(chosen{service: m.Service, err: err})
 			return
+		case draw:
+			r.tokenless = append(r.tokenless, m)
+			return
 		}
 	} else if len(m.Tried) > 0 && !r.pool.Repeat(m.Service, now) {
 		m.reply.Answer(chosen{service: m.Service, err: result.New(result.RetryBudgetSpent, "service %s", m.Service)})
 		return
 	}
+	r.place(m, now)
+}
+
+// place chooses a target for m, or lets it wait for one.
+func (r *run) place(m choose, now time.Time) {
 	if !r.decide(m, now) {
 		r.waiting = append(r.waiting, m)
 	}
@@ -176,20 +211,19 @@
 	waiting := r.waiting
 	r.waiting = nil
 	for _, m := range waiting {
-		if !r.decide(m, now) {
-			r.waiting = append(r.waiting, m)
-		}
+		r.place(m, now)
 	}
 }
 
 // cancel ends a question whose asker left. If it was answered already, its
 // request counts at a target and is taken back.
 func (r *run) cancel(reply task.Reply[chosen]) {
-	for i, m := range r.waiting {
-		if m.reply == reply {
-			r.waiting = append(r.waiting[:i], r.waiting[i+1:]...)
-			return
-		}
+	asked := func(m choose) bool { return m.reply == reply }
+	before := len(r.waiting) + len(r.tokenless)
+	r.waiting = slices.DeleteFunc(r.waiting, asked)
+	r.tokenless = slices.DeleteFunc(r.tokenless, asked)
+	if len(r.waiting)+len(r.tokenless) < before {
+		return
 	}
 	select {
 	case c := <-reply:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,7 +1,7 @@
 // Package fleet is what the leading control VM knows of the targets and the
 // entry VMs: which targets live, which keys each may hold and until when, and
 // which part of each workspace's rate each entry VM may use. Decisions: this
-// file, keys.go, shares.go and roster.go. Tasks: task.go on control VMs,
+// file, keys.go, reports.go, shares.go and roster.go. Tasks: task.go on control VMs,
 // task_follow.go on entry VMs.
 package fleet
 
@@ -125,6 +125,7 @@
 	targets  map[core.TargetID]*target
 	entries  map[core.VM]*entry
 	pending  map[core.Service][]Span // ranges in proposals without a known outcome
+	accounts map[core.Workspace]*account
 	// balancedAt is the newest look at the load of targets.
 	balancedAt time.Time
 }
@@ -142,6 +143,7 @@
 	b.targets = map[core.TargetID]*target{}
 	b.entries = map[core.VM]*entry{}
 	b.pending = map[core.Service][]Span{}
+	b.accounts = map[core.Workspace]*account{}
 	b.balancedAt = from
 }
 
--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -8,6 +8,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/leadership"
+	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/result"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
@@ -82,6 +83,14 @@
 		Question
 		reply task.Reply[News]
 	}
+	draw struct {
+		wants []quota.Want
+		reply task.Reply[drawAnswer]
+	}
+	drawAnswer struct {
+		supplies []quota.Supply
+		err      error
+	}
 	settled struct {
 		term   uint64
 		change config.Change
@@ -92,6 +101,7 @@
 func (heartbeat) isMessage() {}
 func (farewell) isMessage()  {}
 func (question) isMessage()  {}
+func (draw) isMessage()      {}
 func (settled) isMessage()   {}
 
 // NotLeading says that another control VM leads, or that none does for certain.
@@ -145,6 +155,16 @@
 	return task.Ask(ctx, t.mailbox, func(r task.Reply[News]) message { return question{q, r} })
 }
 
+// Draw hands out tokens of workspaces to an entry VM. The error is NotLeading
+// where another VM must be asked.
+func (t *Task) Draw(ctx context.Context, wants []quota.Want) ([]quota.Supply, error) {
+	a, err := task.Ask(ctx, t.mailbox, func(r task.Reply[drawAnswer]) message { return draw{wants, r} })
+	if err != nil {
+		return nil, err
+	}
+	return a.supplies, a.err
+}
+
 // run is the state of one run of the task.
 type run struct {
 	*Task
@@ -292,6 +312,8 @@
 		m.reply.Answer(farewellAnswer{life: life})
 	case question:
 		r.ask(m)
+	case draw:
+		m.reply.Answer(r.supply(m.wants))
 	case settled:
 		r.settle(m)
 	}
@@ -329,6 +351,13 @@
 	return heartbeatAnswer{grant: grant}
 }
 
+func (r *run) supply(wants []quota.Want) drawAnswer {
+	if !r.leads() {
+		return drawAnswer{err: NotLeading{r.options.Tenure().Leader}}
+	}
+	return drawAnswer{supplies: r.book.Draw(wants, r.options.State(), clock.Now())}
+}
+
 func (r *run) ask(q question) {
 	if !r.leads() {
 		q.reply.Answer(News{Leader: r.options.Tenure().Leader})
--- a/internal/fleet/task_follow.go
+++ b/internal/fleet/task_follow.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/quota"
+	"github.com/comfreynotch/comfreynotch/internal/task"
 )
 
 const (
@@ -16,18 +18,39 @@
 // Client asks the control VM at an inner address.
 type Client interface {
 	Ask(ctx context.Context, address string, q Question) (News, error)
+	Draw(ctx context.Context, address string, wants []quota.Want) ([]quota.Supply, error)
 }
 
-// Follower is the task that keeps an entry VM's knowledge of the fleet young.
-type Follower struct {
+// FollowerOptions are the parts of a Follower.
+type FollowerOptions struct {
 	Self    core.VM
 	Seeds   func() []string // inner addresses from the settings
 	Client  Client
 	Report  func() Report // asked before each question; must not wait
-	Deliver func(News)    // must not wait
+	Deliver func(ctx context.Context, n News)
 	Record  func(event string, fields ...any)
 }
 
+// Follower is the task that keeps an entry VM's knowledge of the fleet young.
+type Follower struct {
+	FollowerOptions
+	leading task.Snapshot[string] // inner address of the leader; empty: unknown
+}
+
+// NewFollower returns a task that is not running yet.
+func NewFollower(o FollowerOptions) *Follower {
+	return &Follower{o, task.NewSnapshot(new(string))}
+}
+
+// Draw asks the leader for tokens of workspaces.
+func (f *Follower) Draw(ctx context.Context, wants []quota.Want) ([]quota.Supply, error) {
+	address := *f.leading.Load()
+	if address == "" {
+		return nil, NotLeading{}
+	}
+	return f.Client.Draw(ctx, address, wants)
+}
+
 // AddressOf returns the inner address of a control VM. Its name is the address,
 // and a suffix that tells apart VMs that had the same address one after the
 // other.
@@ -93,6 +116,7 @@
 	}
 	if f.lost || f.term != news.Term {
 		f.lost = false
+		f.leading.Publish(&address)
 		f.Record("leader answers", "address", address, "term", news.Term)
 	}
 	f.leader = address
@@ -101,13 +125,14 @@
 	for _, vm := range news.Control {
 		f.control = append(f.control, AddressOf(vm))
 	}
-	f.Deliver(news)
+	f.Deliver(ctx, news)
 	return true
 }
 
 func (f *follow) lose(address, why string) {
 	if !f.lost {
 		f.lost = true
+		f.leading.Publish(new(string))
 		f.Record("leader lost", "address", address, "why", why)
 	}
 	f.leader = ""
--- a/internal/innerproto/fleet.go
+++ b/internal/innerproto/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/fleet"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto/innerpb"
+	"github.com/comfreynotch/comfreynotch/internal/quota"
 )
 
 // FleetPath is the path prefix of FleetHandler on the inner listener.
@@ -16,6 +17,7 @@
 // Reported answers the reports of entry VMs.
 type Reported interface {
 	Ask(ctx context.Context, q fleet.Question) (fleet.News, error)
+	Draw(ctx context.Context, wants []quota.Want) ([]quota.Supply, error)
 }
 
 type fleetServer struct{ reported Reported }
@@ -45,6 +47,15 @@
 	return newsToWire(n), nil
 }
 
+// Draw hands out tokens.
+func (s fleetServer) Draw(ctx context.Context, r *innerpb.FleetDraw) (*innerpb.FleetSupply, error) {
+	supplies, err := s.reported.Draw(ctx, wantsFromWire(r.GetWants()))
+	if err != nil {
+		return nil, resultToTwirp(err)
+	}
+	return &innerpb.FleetSupply{Supplies: suppliesToWire(supplies)}, nil
+}
+
 func newsToWire(n fleet.News) *innerpb.FleetNews {
 	w := &innerpb.FleetNews{
 		Term: n.Term, Sequence: n.Sequence, Leader: string(n.Leader), Entries: uint32(n.Entries), Place: uint32(n.Place),
@@ -96,6 +107,15 @@
 	return newsFromWire(w), nil
 }
 
+// Draw asks the control VM at an inner address for tokens.
+func (c *FleetClient) Draw(ctx context.Context, address string, wants []quota.Want) ([]quota.Supply, error) {
+	w, err := innerpb.NewFleetProtobufClient("http://"+address, c.client).Draw(ctx, &innerpb.FleetDraw{Wants: wantsToWire(wants)})
+	if err != nil {
+		return nil, resultFromTwirp(err)
+	}
+	return suppliesFromWire(w.GetSupplies()), nil
+}
+
 func newsFromWire(w *innerpb.FleetNews) fleet.News {
 	n := fleet.News{
 		Term: w.GetTerm(), Sequence: w.GetSequence(), Leader: core.VM(w.GetLeader()),
--- a/internal/innerproto/quota.go
+++ b/internal/innerproto/quota.go
@@ -37,21 +37,50 @@
 	for _, k := range r.GetKeeps() {
 		d.Promise.Keeps[core.Workspace(k.GetWorkspace())] = k.GetPart()
 	}
-	for _, w := range r.GetWants() {
-		d.Wants = append(d.Wants, quota.Want{Workspace: core.Workspace(w.GetWorkspace()), Tokens: int(w.GetTokens())})
-	}
+	d.Wants = wantsFromWire(r.GetWants())
 	got, err := s.source.Draw(ctx, d)
 	if err != nil {
 		return nil, twirp.Unavailable.Error(err.Error())
 	}
-	answer := &innerpb.DrawAnswer{Stamp: stampToWire(got.Stamp)}
-	for _, s := range got.Supplies {
-		answer.Supplies = append(answer.Supplies, &innerpb.TokenSupply{
+	return &innerpb.DrawAnswer{Stamp: stampToWire(got.Stamp), Supplies: suppliesToWire(got.Supplies)}, nil
+}
+
+func wantsToWire(wants []quota.Want) []*innerpb.TokenWant {
+	var out []*innerpb.TokenWant
+	for _, w := range wants {
+		out = append(out, &innerpb.TokenWant{Workspace: string(w.Workspace), Tokens: uint32(w.Tokens)})
+	}
+	return out
+}
+
+func wantsFromWire(wants []*innerpb.TokenWant) []quota.Want {
+	var out []quota.Want
+	for _, w := range wants {
+		out = append(out, quota.Want{Workspace: core.Workspace(w.GetWorkspace()), Tokens: int(w.GetTokens())})
+	}
+	return out
+}
+
+func suppliesToWire(supplies []quota.Supply) []*innerpb.TokenSupply {
+	var out []*innerpb.TokenSupply
+	for _, s := range supplies {
+		out = append(out, &innerpb.TokenSupply{
 			Workspace: string(s.Workspace), Tokens: uint32(s.Tokens),
 			RetryAfterMicros: uint32(s.RetryAfter.Microseconds()),
 		})
 	}
-	return answer, nil
+	return out
+}
+
+func suppliesFromWire(supplies []*innerpb.TokenSupply) []quota.Supply {
+	var out []quota.Supply
+	for _, s := range supplies {
+		out = append(out, quota.Supply{
+			Workspace: core.Workspace(s.GetWorkspace()), Tokens: int(s.GetTokens()),
+			RetryAfter: time.Duration(s.GetRetryAfterMicros()) * time.Microsecond,
+		})
+	}
+	return out
 }
 
 // QuotaClient draws tokens from other daemons.
@@ -64,26 +93,16 @@
 func (c *QuotaClient) Draw(ctx context.Context, to config.VM, d quota.Draw) (quota.Answer, error) {
 	r := &innerpb.DrawRequest{
 		Level: uint32(d.Level), Cell: string(d.Cell), ConfigVersion: uint64(d.Version),
-		Promise: stampToWire(d.Promise.Stamp),
+		Promise: stampToWire(d.Promise.Stamp), Wants: wantsToWire(d.Wants),
 	}
 	for w, part := range d.Promise.Keeps {
 		r.Keeps = append(r.Keeps, &innerpb.KeptFloor{Workspace: string(w), Part: part})
 	}
-	for _, w := range d.Wants {
-		r.Wants = append(r.Wants, &innerpb.TokenWant{Workspace: string(w.Workspace), Tokens: uint32(w.Tokens)})
-	}
 	answer, err := innerpb.NewQuotaProtobufClient("http://"+to.InnerAddress, c.client).Draw(ctx, r)
 	if err != nil {
 		return quota.Answer{}, err
 	}
-	drawn := quota.Answer{Stamp: stampFromWire(answer.GetStamp())}
-	for _, got := range answer.GetSupplies() {
-		drawn.Supplies = append(drawn.Supplies, quota.Supply{
-			Workspace: core.Workspace(got.GetWorkspace()), Tokens: int(got.GetTokens()),
-			RetryAfter: time.Duration(got.GetRetryAfterMicros()) * time.Microsecond,
-		})
-	}
-	return drawn, nil
+	return quota.Answer{Stamp: stampFromWire(answer.GetStamp()), Supplies: suppliesFromWire(answer.GetSupplies())}, nil
 }
 
 // stampToWire returns nil for no stamp.
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -16,6 +16,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/fleet"
 	"github.com/comfreynotch/comfreynotch/internal/innerproto"
+	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/raft"
 	"github.com/comfreynotch/comfreynotch/internal/relay"
 	"github.com/comfreynotch/comfreynotch/internal/task"
@@ -38,6 +39,7 @@
 	poller  *configsync.Poller
 	balance *balance.Task
 	relay   *relay.Relay
+	fleet   *fleet.Follower
 	control task.Snapshot[[]string] // inner addresses that the leader told
 }
 
@@ -47,7 +49,14 @@
 	seed := fnv.New64a()
 	_, _ = seed.Write([]byte(self))
 	e := &Entry{options: o, control: task.NewSnapshot(&[]string{})}
-	e.balance = balance.NewTask(self, o.Home, o.Bounds, seed.Sum64())
+	e.balance = balance.NewTask(balance.Options{
+		Self: self, Home: o.Home, Bounds: o.Bounds, Seed: seed.Sum64(),
+		Draw: func(ctx context.Context, wants []quota.Want) ([]quota.Supply, error) { return e.fleet.Draw(ctx, wants) },
+	})
+	e.fleet = fleet.NewFollower(fleet.FollowerOptions{
+		Self: self, Seeds: o.Inner.Seeds, Client: innerproto.NewFleetClient(newTransport()),
+		Report: e.balance.Report, Record: recorder(o.Logger), Deliver: e.told,
+	})
 	e.copy = configsync.NewTask(configjson.Codec{}, func(s *config.State) { e.balance.ConfigChanged(s) })
 	member := raft.Member{VM: self, Address: o.Inner.Address}
 	e.poller = &configsync.Poller{
@@ -68,15 +77,10 @@
 
 // Run serves until ctx ends. extra are the tasks of the edge to callers.
 func (e *Entry) Run(ctx context.Context, extra ...task.Service) error {
-	follower := &fleet.Follower{
-		Self: VMAt(e.options.Inner.Address), Seeds: e.options.Inner.Seeds, Client: innerproto.NewFleetClient(newTransport()),
-		Report: e.balance.Report, Record: recorder(e.options.Logger),
-		Deliver: func(n fleet.News) { e.told(ctx, n) },
-	}
 	return supervise(ctx, "entry", e.options.Logger, append([]task.Service{
 		task.Func("configuration", e.copy.Serve),
 		task.Func("configuration poller", e.poller.Serve),
-		task.Func("fleet", follower.Serve),
+		task.Func("fleet", e.fleet.Serve),
 		task.Func("balance", e.balance.Serve),
 	}, extra...))
 }
