--- a/internal/balance/task.go
+++ b/internal/balance/task.go
@@ -40,6 +40,8 @@
 	options Options
 	mailbox task.Mailbox[message]
 	report  task.Snapshot[fleet.Report]
+	// config is the configuration in force; a full mailbox loses none.
+	config task.Snapshot[config.State]
 }
 
 type message interface{ isMessage() }
@@ -58,7 +60,7 @@
 	}
 	done          struct{ Outcome }
 	told          struct{ fleet.News }
-	configChanged struct{ state *config.State }
+	configChanged struct{}
 	cancelled     struct{ reply task.Reply[chosen] }
 	drawn         struct {
 		wants    []quota.Want
@@ -80,14 +82,19 @@
 		options: o,
 		mailbox: task.NewMailbox[message]("balance", mailboxSize),
 		report:  task.NewSnapshot(&fleet.Report{VM: o.Self}),
+		config:  task.NewSnapshot(config.NewState()),
 	}
 }
 
 // Report is what this VM tells the leader of the control VMs.
 func (t *Task) Report() fleet.Report { return *t.report.Load() }
 
-// ConfigChanged delivers the configuration in force.
-func (t *Task) ConfigChanged(s *config.State) { _ = t.mailbox.Post(configChanged{s}) }
+// ConfigChanged delivers the configuration in force. Only one goroutine calls
+// it.
+func (t *Task) ConfigChanged(s *config.State) {
+	t.config.Publish(s)
+	_ = t.mailbox.Post(configChanged{}) // where it is full, the next review sees the change
+}
 
 // Told delivers news of the fleet.
 func (t *Task) Told(ctx context.Context, n fleet.News) { _ = t.mailbox.Send(ctx, told{n}) }
@@ -115,6 +122,7 @@
 type run struct {
 	*Task
 	pool    *Pool
+	state   *config.State // that the pool has
 	ticket  uint64
 	waiting []choose // for the owner of a key
 	// tokenless are the requests that wait for tokens from the leader.
@@ -156,7 +164,6 @@
 		r.pool.Told(m.News, clock.Now())
 		r.review()
 	case configChanged:
-		r.pool.ConfigChanged(m.state, clock.Now())
 		r.review()
 	case cancelled:
 		r.cancel(m.reply)
@@ -203,11 +210,17 @@
 	return true
 }
 
+// review takes a changed configuration and looks again at the requests that
+// wait.
 func (r *run) review() {
+	now := clock.Now()
+	if state := r.config.Load(); state != r.state {
+		r.state = state
+		r.pool.ConfigChanged(state, now)
+	}
 	if len(r.waiting) == 0 {
 		return
 	}
-	now := clock.Now()
 	waiting := r.waiting
 	r.waiting = nil
 	for _, m := range waiting {
--- /dev/null
+++ b/internal/balance/task_test.go
@@ -0,0 +1,90 @@
+package balance
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreynotch/comfreynotch/internal/clock"
+	"github.com/comfreynotch/comfreynotch/internal/fleet"
+	"github.com/comfreynotch/comfreynotch/internal/quota"
+	"github.com/comfreynotch/comfreynotch/internal/result"
+)
+
+var errNoLeader = errors.New("no leader in this test")
+
+func testTask(draw func(context.Context, []quota.Want) ([]quota.Supply, error)) *Task {
+	if draw == nil {
+		draw = func(context.Context, []quota.Want) ([]quota.Supply, error) { return nil, errNoLeader }
+	}
+	return NewTask(Options{Self: "entry-1", Home: "a", Bounds: Bounds{BudgetWindow: 10 * time.Second}, Seed: 1, Draw: draw})
+}
+
+// TestConfigurationIsNotLostWhenTheMailboxIsFull holds that a change which
+// arrives while the mailbox is full is in force soon after.
+func TestConfigurationIsNotLostWhenTheMailboxIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		b := testTask(nil)
+		news := fleet.News{Term: 1, Entries: 1, Targets: []fleet.TargetState{stateOf("i-1", open)}}
+		for range mailboxSize {
+			b.Told(ctx, news)
+		}
+		b.ConfigChanged(testState(t))
+		go func() { _ = b.Serve(ctx) }()
+		time.Sleep(2 * reviewPeriod)
+		r := request("", clock.Now())
+		r.Workspace, r.Route = "lab", testRoute(open)
+		_, _, err := b.Choose(ctx, r, clock.Now())
+		is.Equal(result.CodeOf(errorOf(err)), result.RateExceeded) // the workspace's rate is known
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func errorOf(e *result.Error) error {
+	if e == nil {
+		return nil
+	}
+	return e
+}
+
+// TestRequestWaitsForADrawnToken holds that a request without a token here is
+// admitted with one of the leader's, and refused at once when the leader has
+// none or does not answer.
+func TestRequestWaitsForADrawnToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		tokens := 1
+		b := testTask(func(ctx context.Context, wants []quota.Want) ([]quota.Supply, error) {
+			wait := time.NewTimer(3 * time.Millisecond)
+			<-wait.C
+			s := quota.Supply{Workspace: wants[0].Workspace, Tokens: min(tokens, wants[0].Tokens), RetryAfter: time.Second}
+			tokens -= s.Tokens
+			return []quota.Supply{s}, nil
+		})
+		go func() { _ = b.Serve(ctx) }()
+		b.ConfigChanged(testState(t))
+		b.Told(ctx, fleet.News{Term: 1, Entries: 10, Targets: []fleet.TargetState{stateOf("i-1", open)}})
+		synctest.Wait()
+		ask := func() *result.Error {
+			r := request("", clock.Now())
+			r.Workspace, r.Route = "lab", testRoute(open)
+			_, _, err := b.Choose(ctx, r, clock.Now())
+			return err
+		}
+		is.True(ask() == nil)
+		is.Equal(result.CodeOf(errorOf(ask())), result.RateExceeded)
+		begin := clock.Now()
+		is.Equal(result.CodeOf(errorOf(ask())), result.RateExceeded)
+		is.True(clock.Since(begin) < time.Millisecond) // no draw before the time that the leader told
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -71,10 +71,15 @@
 	// evenPart of what is divided goes to all entry VMs alike, so that one whose
 	// demand is not known yet has some while no leader answers.
 	evenPart = 0.1
-	// dividedPart of a rate is divided; entry VMs draw the rest when they lack
-	// tokens. Load pattern: an entry VM sees less than one request a second of a
-	// workspace, so that no share fits what it needs next.
-	dividedPart = 0.7
+	// leastDivided and mostDivided are the parts of a rate and of its reserve that
+	// are divided; entry VMs draw the rest when they lack tokens. Load pattern: an
+	// entry VM sees less than one request a second of a workspace, so that no
+	// share fits what it needs next.
+	leastDivided = 0.5
+	mostDivided  = 0.9
+	// steadyRate is a rate for each entry VM, in requests a second, whose demand
+	// there varies little enough for half of what lies between the two.
+	steadyRate = 4
 	// busyDividedPart is the same when callers ask for more than the rate: they
 	// use up every share, and draws would only find nothing.
 	busyDividedPart = 0.9
@@ -92,12 +97,13 @@
 	if a.demand > 0 {
 		fair += (1 - evenPart) * p.demand / a.demand
 	}
-	divided := dividedPart
+	divided := b.dividedPart(t)
+	rate := divided * t.Rate
 	if a.demand > t.Rate {
-		divided = busyDividedPart
+		rate = busyDividedPart * t.Rate
 	}
 	others := a.granted - p.granted
-	share := Share{Workspace: t.Name, Rate: min(fair*divided*t.Rate, max(divided*t.Rate-others, 0)), Burst: fair * b.reserve(t) / 2}
+	share := Share{Workspace: t.Name, Rate: min(fair*rate, max(rate-others, 0)), Burst: fair * divided * b.reserve(t)}
 	if share.Burst < 1 {
 		// It could never hold a token: the share is left to be drawn.
 		share.Rate, share.Burst = 0, 0
@@ -106,8 +112,14 @@
 	return share
 }
 
+// dividedPart is the part of a rate and of its reserve that is divided.
+func (b *Book) dividedPart(t config.Tenancy) float64 {
+	each := t.Rate / float64(max(len(b.entries), 1))
+	return leastDivided + (mostDivided-leastDivided)*each/(each+steadyRate)
+}
+
 // Draw hands out tokens that no entry VM has a share of: the rest of a
-// workspace's rate, and half of its reserve.
+// workspace's rate, and of its reserve.
 func (b *Book) Draw(wants []quota.Want, s *config.State, now time.Time) []quota.Supply {
 	supplies := make([]quota.Supply, 0, len(wants))
 	for _, w := range wants {
@@ -123,7 +135,7 @@
 		return none
 	}
 	a := b.account(t.Name)
-	a.rest.SetRate(max(t.Rate-a.granted, 0), b.reserve(t)/2, now)
+	a.rest.SetRate(max(t.Rate-a.granted, 0), (1-b.dividedPart(t))*b.reserve(t), now)
 	none.Tokens = a.rest.Take(w.Tokens, now)
 	if wait, never := a.rest.NextToken(); !never {
 		none.RetryAfter = max(wait, emptyRetry)
--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -16,8 +16,11 @@
 const (
 	mailboxSize = 4096
 	planPeriod  = 50 * time.Millisecond
-	// pushDelay gathers changes of targets before entry VMs are told.
-	pushDelay = 10 * time.Millisecond
+	// minPushDelay gathers changes of targets before entry VMs are told.
+	minPushDelay = 10 * time.Millisecond
+	// pushPace is the time between two pushes for each entry VM: all report anew
+	// after each, which costs the leader a tenth of this.
+	pushPace = 2 * time.Millisecond
 	// MaxHold is the longest time that the answer to a report waits for news.
 	MaxHold = 500 * time.Millisecond
 )
@@ -173,8 +176,10 @@
 	push    *time.Timer
 	pushing bool
 	pushed  uint64
-	control []core.VM
-	held    []held
+	// pushedAt is when all who waited were answered last.
+	pushedAt time.Time
+	control  []core.VM
+	held     []held
 	// counting: a proposal of the number of entry VMs is under way.
 	counting bool
 }
@@ -198,7 +203,7 @@
 		case <-ticker.C:
 			r.tick(ctx)
 		case <-r.push.C:
-			r.pushing = false
+			r.pushing, r.pushedAt = false, clock.Now()
 			r.answer(func(waiter) bool { return true })
 		case m := <-t.mailbox.C():
 			r.handle(m)
@@ -370,10 +375,17 @@
 	r.waiters = append(r.waiters, waiter{q, clock.Now().Add(min(q.Hold, MaxHold))})
 }
 
+// pushDelay is when the next push is due. Load pattern: hundreds of targets
+// change one after the other while a hundred entry VMs wait for news.
+func (r *run) pushDelay() time.Duration {
+	next := r.pushedAt.Add(time.Duration(len(r.waiters)) * pushPace)
+	return max(next.Sub(clock.Now()), minPushDelay)
+}
+
 func (r *run) schedulePush() {
 	if r.book.Sequence() != r.pushed && !r.pushing {
 		r.pushing = true
-		r.push.Reset(pushDelay)
+		r.push.Reset(r.pushDelay())
 	}
 }
 
