--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -68,9 +68,14 @@
 }
 
 const (
-	// evenPart of what is divided goes to all entry VMs alike, so that one whose
-	// demand is not known yet has some while no leader answers.
-	evenPart = 0.1
+	// leastEven and mostEven bound the part of what is divided that goes to all
+	// entry VMs alike, so that one whose demand is not known yet has some while no
+	// leader answers.
+	leastEven = 0.1
+	mostEven  = 0.4
+	// evenTokens is the burst that an even part should hold, in requests: it is
+	// worth dividing only if it holds a whole one.
+	evenTokens = 1.2
 	// leastDivided and mostDivided are the parts of a rate and of its reserve that
 	// are divided; entry VMs draw the rest when they lack tokens. Load pattern: an
 	// entry VM sees less than one request a second of a workspace, so that no
@@ -93,17 +98,19 @@
 		p = &part{}
 		e.parts[t.Name] = p
 	}
-	fair := evenPart / float64(len(b.entries))
+	divided := b.dividedPart(t)
+	reserve := divided * b.reserve(t)
+	even := b.evenPart(reserve)
+	fair := even / float64(len(b.entries))
 	if a.demand > 0 {
-		fair += (1 - evenPart) * p.demand / a.demand
+		fair += (1 - even) * p.demand / a.demand
 	}
-	divided := b.dividedPart(t)
 	rate := divided * t.Rate
 	if a.demand > t.Rate {
 		rate = busyDividedPart * t.Rate
 	}
 	others := a.granted - p.granted
-	share := Share{Workspace: t.Name, Rate: min(fair*rate, max(rate-others, 0)), Burst: fair * divided * b.reserve(t)}
+	share := Share{Workspace: t.Name, Rate: min(fair*rate, max(rate-others, 0)), Burst: fair * reserve}
 	if share.Burst < 1 {
 		// It could never hold a token: the share is left to be drawn.
 		share.Rate, share.Burst = 0, 0
@@ -112,6 +119,16 @@
 	return share
 }
 
+// evenPart is the part of a rate that all entry VMs get alike. Load pattern: a
+// few entry VMs lose the leader while callers move between them.
+func (b *Book) evenPart(reserve float64) float64 {
+	wanted := evenTokens * float64(len(b.entries)) / max(reserve, 1)
+	if wanted > mostEven {
+		return leastEven
+	}
+	return max(wanted, leastEven)
+}
+
 // dividedPart is the part of a rate and of its reserve that is divided.
 func (b *Book) dividedPart(t config.Tenancy) float64 {
 	each := t.Rate / float64(max(len(b.entries), 1))
