--- a/internal/balance/rates_test.go
+++ b/internal/balance/rates_test.go
@@ -29,6 +29,9 @@
 	asked   int
 	refused int
 	draws   int
+	// cut are the entry VMs that do not reach the leader; leaderless: none does.
+	cut        map[int]bool
+	leaderless bool
 }
 
 var testQuota = fleet.Quota{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
@@ -44,10 +47,11 @@
 		random: rand.New(rand.NewPCG(seed, 1)), now: start, rate: rate, burst: burst,
 		state: testState(t, config.PatchCatalog{Tenants: []config.Tenancy{
 			{Item: config.Item{Revision: 2}, Name: "lab", Rate: rate, Burst: burst},
-		}}),
+		}}, config.CountEntryVMs{Count: entries}),
 		book: fleet.NewBook(fleet.Terms{HeartbeatInterval: time.Second, KeyLease: 3 * time.Second, Quota: testQuota}),
 	}
 	w.book.Begin(1, w.now)
+	w.cut = map[int]bool{}
 	for range entries {
 		w.pools = append(w.pools, testPool(w.state))
 	}
@@ -63,7 +67,7 @@
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(ratesStep) {
 		tick := int(w.now.Sub(start) / ratesStep)
 		for i, p := range w.pools {
-			if (tick+7*i)%int(ratesReportPeriod/ratesStep) == 0 {
+			if !w.cut[i] && !w.leaderless && (tick+7*i)%int(ratesReportPeriod/ratesStep) == 0 {
 				w.report(p, i)
 			}
 		}
@@ -85,7 +89,10 @@
 	pool := w.pools[entry]
 	draw, err := pool.Admit(r, w.now)
 	admitted := !draw && err == nil
-	if draw {
+	switch {
+	case draw && (w.cut[entry] || w.leaderless):
+		pool.DrawFailed("lab", w.now)
+	case draw:
 		w.draws++
 		supply := w.book.Draw([]quota.Want{{Workspace: "lab", Tokens: 1}}, w.state, w.now)[0]
 		admitted = pool.Supplied(supply, 1, w.now) == 1
@@ -101,6 +108,16 @@
 	}
 }
 
+// cutOff cuts an entry VM off from the leader, or heals the cut.
+func (w *ratesWorld) cutOff(entry int, cut bool) { w.cut[entry] = cut }
+
+// restart makes an entry VM forget all.
+func (w *ratesWorld) restart(entry int) {
+	p := NewPool("a", Bounds{BudgetWindow: 10 * time.Second}, w.random.Float64)
+	p.ConfigChanged(w.state, w.now)
+	w.pools[entry] = p
+}
+
 // mostInWindow is the largest number of admitted requests in any window of the
 // quota.
 func (w *ratesWorld) mostInWindow() int {
--- a/internal/fleet/task_test.go
+++ b/internal/fleet/task_test.go
@@ -13,6 +13,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/leadership"
+	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
 
@@ -81,3 +82,21 @@
 		synctest.Wait()
 	})
 }
+
+// TestDrawNeedsATenure holds that only a VM that leads for certain hands out
+// tokens; others say who leads.
+func TestDrawNeedsATenure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := leadership.Tenure{Leader: "b", Term: 3, From: clock.Now(), Until: clock.Now()}
+		follower := startTask(ctx, task.NewSnapshot(&ended))
+		time.Sleep(time.Millisecond)
+		_, err := follower.Draw(ctx, []quota.Want{{Workspace: "w", Tokens: 1}})
+		var elsewhere NotLeading
+		is.True(errors.As(err, &elsewhere))
+		is.Equal(elsewhere.Leader, core.VM("b"))
+		cancel()
+		synctest.Wait()
+	})
+}
