--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -2,7 +2,8 @@
 // VM's own requests in flight and from what targets say of their load. It also
 // counts what is divided among the entry VMs: rates of workspaces, the
 // allowance of cold targets, and the budget of repeats. Decisions: this file,
-// choose.go, target.go, limits.go. Task: task.go.
+// admission.go, choose.go, heat.go, limits.go, target.go. Task: task.go,
+// task_draw.go.
 package balance
 
 import (
@@ -29,9 +30,10 @@
 	state    *config.State
 	targets  map[core.TargetID]*target
 	services map[core.Service][]*target
-	entries  int  // entry VMs that share the limits
-	place    int  // of this one
-	told     bool // a leader has told both
+	entries  int       // entry VMs that share the limits
+	place    int       // of this one
+	told     bool      // a leader has told both
+	since    time.Time // of the first news
 	term     uint64
 	buckets  map[core.Workspace]*bucket
 	budgets  map[core.Service]*budget
@@ -80,6 +82,9 @@
 
 // Told takes news of the fleet.
 func (p *Pool) Told(n fleet.News, now time.Time) {
+	if p.since.IsZero() {
+		p.since = now
+	}
 	if n.Term != p.term {
 		p.term = n.Term
 		for _, t := range p.targets {
@@ -110,6 +115,9 @@
 			p.remove(t)
 		}
 		t = newTarget(s.Target, now)
+		if now.Sub(p.since) > firstNews {
+			t.joinedAt = now
+		}
 		p.targets[s.ID] = t
 		p.services[s.Service] = append(p.services[s.Service], t)
 	}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -91,6 +91,7 @@
 		p.heat.add(r.Service, r.Key, p.workOf(r.Route).mean, now)
 	}
 	best.inFlight++
+	best.used = true
 	best.sent[ticket] = now
 	if best.cold(now) {
 		best.coldSends = append(best.coldSends, now)
@@ -143,9 +144,45 @@
 	return c * (1 + jitter*p.random())
 }
 
+const (
+	// newcomersPart of the requests go to targets that have joined lately and
+	// got none from this VM: enough for each to get one within a second or two.
+	newcomersPart = 0.05
+	// knownTargets is a number of targets that an entry VM uses all by itself.
+	knownTargets = 40
+	// newcomerFor is how long a target counts as one that has joined lately.
+	newcomerFor = 8 * time.Second
+	// firstNews is the time in which a VM that starts hears of the targets that
+	// are there already.
+	firstNews = 2 * time.Second
+)
+
+// newcomer is one of the targets that have joined lately, nil if there is none
+// to try. Load pattern: targets are added where entry VMs know enough quick
+// ones, and would not find out how quick the new ones are.
+func (p *Pool) newcomer(r Request, now time.Time) *target {
+	targets := p.services[r.Service]
+	first := int(p.random() * float64(len(targets)))
+	for i := range targets {
+		t := targets[(first+i)%len(targets)]
+		if t.used || t.joinedAt.IsZero() || now.Sub(t.joinedAt) >= newcomerFor {
+			continue
+		}
+		if !p.leaves(t) && !slices.Contains(r.Tried, t.ID) && p.coldRoom(t, now) && !t.bad(now, p.patience(t, r, now)) {
+			return t
+		}
+	}
+	return nil
+}
+
 // leastExpected is the target with the least expected time. Load pattern:
 // targets of unequal speed, some of them slow for a moment, some failing.
 func (p *Pool) leastExpected(r Request, now time.Time) (*target, *result.Error) {
+	if len(p.services[r.Service]) > knownTargets && p.random() < newcomersPart {
+		if t := p.newcomer(r, now); t != nil {
+			return t, nil
+		}
+	}
 	var best *target
 	var bestCost float64
 	avoided := true
--- a/internal/balance/queues_test.go
+++ b/internal/balance/queues_test.go
@@ -1,15 +1,18 @@
 package balance
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/fleet"
 )
@@ -18,6 +21,7 @@
 // what exceeds their slots.
 type queueWorld struct {
 	random  *rand.Rand
+	now     time.Time
 	book    *fleet.Book
 	pools   []*Pool
 	known   []uint64 // sequence of the newest news
@@ -30,6 +34,7 @@
 
 type queueTarget struct {
 	factor  float64 // of the work time
+	got     int     // requests
 	running int
 	queue   []queued
 }
@@ -72,18 +77,16 @@
 	t.Helper()
 	state := testState(t)
 	w := &queueWorld{
-		random: rand.New(rand.NewPCG(1, 3)), targets: map[core.TargetID]*queueTarget{}, known: make([]uint64, entries),
+		random: rand.New(rand.NewPCG(1, 3)), now: start, targets: map[core.TargetID]*queueTarget{}, known: make([]uint64, entries),
 		book: fleet.NewBook(fleet.Terms{HeartbeatInterval: time.Second, KeyLease: 3 * time.Second, Quota: testQuota}),
 	}
 	w.book.Begin(1, start)
 	for i := range targets {
-		s := stateOf(fmt.Sprint("i-", i), open)
-		s.Slots = queueSlots
-		w.book.Heard(fleet.Heartbeat{Target: s.Target, Sequence: 1}, state, start)
-		w.targets[s.ID] = &queueTarget{factor: quickTarget}
+		factor := quickTarget
 		if i%3 == 0 {
-			w.targets[s.ID].factor = slowTarget
+			factor = slowTarget
 		}
+		w.join(fmt.Sprint("i-", i), factor, state, start)
 	}
 	for i := range entries {
 		p := NewPool("a", Bounds{BudgetWindow: 10 * time.Second}, rand.New(rand.NewPCG(uint64(i), 5)).Float64)
@@ -94,19 +97,28 @@
 	return w
 }
 
+func (w *queueWorld) join(id string, factor float64, state *config.State, now time.Time) {
+	s := stateOf(id, open)
+	s.Slots = queueSlots
+	w.book.Heard(fleet.Heartbeat{Target: s.Target, Sequence: 1}, state, now)
+	w.targets[s.ID] = &queueTarget{factor: factor}
+}
+
 func (w *queueWorld) report(i int, now time.Time) {
 	vm := core.VM(fmt.Sprint("entry-", i))
 	p := w.pools[i]
 	_, n, place := w.book.Reported(p.Report(vm, now), p.state, now)
 	changed := w.book.Changed(vm, 1, w.known[i], now)
+	slices.SortFunc(changed, func(x, y fleet.TargetState) int { return cmp.Compare(x.ID, y.ID) }) // the same in each run
 	w.known[i] = w.book.Sequence()
 	p.Told(fleet.News{Term: 1, Entries: n, Place: place, Targets: changed}, now)
 }
 
-// run sends perSecond requests for d after the time for learning.
+// run sends perSecond requests for d.
 func (w *queueWorld) run(perSecond float64, d time.Duration) {
-	for ms := range int((queueLearning + d) / time.Millisecond) {
-		now := start.Add(time.Duration(ms) * time.Millisecond)
+	for until := w.now.Add(d); w.now.Before(until); w.now = w.now.Add(time.Millisecond) {
+		now := w.now
+		ms := int(now.Sub(start) / time.Millisecond)
 		for len(w.ends) > 0 && !w.ends[0].at.After(now) {
 			w.finish(heap.Pop(&w.ends).(end))
 		}
@@ -130,6 +142,7 @@
 		panic(err)
 	}
 	t := w.targets[c.Target.ID]
+	t.got++
 	q := queued{p, c, now, measure}
 	if measure {
 		w.all++
@@ -188,10 +201,33 @@
 			is := is.New(t)
 			w := newQueueWorld(t, c.entries, c.targets)
 			quick := float64(c.targets) * 2 / 3
-			w.run(c.load*quick*queueSlots/(queueWork.Seconds()*quickTarget), 20*time.Second)
+			w.run(c.load*quick*queueSlots/(queueWork.Seconds()*quickTarget), queueLearning+20*time.Second)
 			late := 1 - float64(w.inAim)/float64(w.all)
 			t.Logf("%.3f late, %.3f on slow targets", late, float64(w.onSlow)/float64(w.all))
 			is.True(late <= c.late)
 		})
 	}
 }
+
+// TestTargetsThatJoinGetRequests replays a grown deployment at half load, to
+// which a quarter more targets are added: they get requests soon, though the
+// entry VMs know others that are quick.
+func TestTargetsThatJoinGetRequests(t *testing.T) {
+	is := is.New(t)
+	const entries, targets, added = 61, 105, 26
+	w := newQueueWorld(t, entries, targets)
+	perSecond := 0.5 * targets * queueSlots / queueWork.Seconds()
+	w.run(perSecond, queueLearning)
+	for i := range added {
+		w.join(fmt.Sprint("new-", i), 1, w.pools[0].state, w.now)
+	}
+	w.run(perSecond, 4*time.Second)
+	unused := 0
+	for i := range added {
+		if w.targets[core.TargetID(fmt.Sprint("new-", i))].got == 0 {
+			unused++
+		}
+	}
+	t.Logf("%d of %d got no request", unused, added)
+	is.True(unused*10 <= added) // without trying them, 5 to 11 of 26
+}
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -51,6 +51,8 @@
 	notHeld    core.Version // it refused keys under this fence
 	notHeldAt  time.Time
 	answeredAt time.Time
+	joinedAt   time.Time            // zero: it was there when this VM started
+	used       bool                 // it got a request from this VM
 	sent       map[uint64]time.Time // requests without an answer yet
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,8 +1,9 @@
 // Package fleet is what the leading control VM knows of the targets and the
 // entry VMs: which targets live, which keys each may hold and until when, and
 // which part of each workspace's rate each entry VM may use. Decisions: this
-// file, keys.go, reports.go, shares.go and roster.go. Tasks: task.go on control VMs,
-// task_follow.go on entry VMs.
+// file, keys.go, placement.go, reports.go, shares.go, cold.go and roster.go.
+// Tasks: task.go and task_targets.go on control VMs, task_follow.go on entry
+// VMs.
 package fleet
 
 import (
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -16,9 +16,11 @@
 
 // account is one workspace's rate over all entry VMs.
 type account struct {
-	demand  float64      // sum of the parts
-	granted float64      // sum of the parts
-	rest    quota.Bucket // what is not divided; empty when a tenure begins, since shares of the leader before may still be in use
+	demand  float64 // sum of the parts
+	granted float64 // sum of the parts
+	// rest is what is not divided. It is empty when a tenure begins: shares of the
+	// leader before may still be in use.
+	rest quota.Bucket
 }
 
 // change sets a part and keeps the sums.
--- a/internal/fleet/task_follow.go
+++ b/internal/fleet/task_follow.go
@@ -48,7 +48,11 @@
 	if address == "" {
 		return nil, NotLeading{}
 	}
-	return f.Client.Draw(ctx, address, wants)
+	supplies, err := f.Client.Draw(ctx, address, wants)
+	if err != nil {
+		f.Record("draw of tokens failed", "address", address, "workspaces", len(wants), "why", err.Error())
+	}
+	return supplies, err
 }
 
 // AddressOf returns the inner address of a control VM. Its name is the address,
