--- a/internal/balance/queues_test.go
+++ b/internal/balance/queues_test.go
@@ -209,25 +209,35 @@
 	}
 }
 
-// TestTargetsThatJoinGetRequests replays a grown deployment at half load, to
-// which a quarter more targets are added: they get requests soon, though the
-// entry VMs know others that are quick.
-func TestTargetsThatJoinGetRequests(t *testing.T) {
+// joinBound is by when a target that joined must have got a request: four
+// seconds after operators and entry VMs had as long to notice it.
+const joinBound = 8 * time.Second
+
+// TestTargetThatJoinsIsTried replays an entry VM of a grown deployment that
+// sends fifteen requests a second and knows fifty targets that are quick: one
+// that is added gets a request in time all the same.
+func TestTargetThatJoinsIsTried(t *testing.T) {
 	is := is.New(t)
-	const entries, targets, added = 61, 105, 26
-	w := newQueueWorld(t, entries, targets)
-	perSecond := 0.5 * targets * queueSlots / queueWork.Seconds()
-	w.run(perSecond, queueLearning)
-	for i := range added {
-		w.join(fmt.Sprint("new-", i), 1, w.pools[0].state, w.now)
+	const targets, pace = 50, time.Second / 15
+	p := testPool(testState(t))
+	for i := range targets {
+		p.tellAll(start, stateOf(fmt.Sprint("i-", i), open))
 	}
-	w.run(perSecond, 4*time.Second)
-	unused := 0
-	for i := range added {
-		if w.targets[core.TargetID(fmt.Sprint("new-", i))].got == 0 {
-			unused++
+	now, ticket, got := start, uint64(0), map[core.TargetID]int{}
+	send := func(d time.Duration) {
+		for until := now.Add(d); now.Before(until); now = now.Add(pace) {
+			ticket++
+			c, _, err := p.Choose(request(open, now), ticket, now)
+			is.True(err == nil)
+			got[c.Target.ID]++
+			p.Done(Outcome{
+				Ticket: ticket, Target: c.Target.ID, Life: 1, Route: testRoute(open), Answered: true, At: now.Add(pace / 2),
+				Latency: time.Duration(quickTarget * float64(p.workOf(testRoute(open)).mean)),
+			})
 		}
 	}
-	t.Logf("%d of %d got no request", unused, added)
-	is.True(unused*10 <= added) // without trying them, 5 to 11 of 26
+	send(20 * time.Second)
+	p.tellAll(now, stateOf("new", open))
+	send(joinBound)
+	is.True(got["new"] > 0)
 }
