--- a/internal/configsync/sources.go
+++ b/internal/configsync/sources.go
@@ -16,6 +16,10 @@
 // A voter's proof is up to a second old; each hop below it adds holdTime.
 const maxAge = 3 * time.Second
 
+// VoterAge is the same for a daemon that asks voters only. A voter that is cut
+// off from the leader keeps it from a change for this and one holdTime.
+const VoterAge = 1500 * time.Millisecond
+
 // Source is a daemon that can be asked.
 type Source struct {
 	Address string
--- a/internal/configsync/task_poll.go
+++ b/internal/configsync/task_poll.go
@@ -35,6 +35,7 @@
 	First       *config.State   // cells known from the settings; may be nil
 	Coordinator func() core.VM  // of the cell, empty if unknown
 	Votes       bool            // the daemon holds a replica of the registry, which comes first
+	MaxAge      time.Duration   // of the proof behind a source's answers; zero: maxAge, for a tree of daemons
 	Task        *Task
 	Client      Client
 }
@@ -59,7 +60,7 @@
 
 // poll asks one source and returns how long to wait before the next.
 func (r *pollRun) poll(ctx context.Context) time.Duration {
-	if r.Votes && clock.Since(r.Task.ConfirmedAt()) < maxAge {
+	if r.Votes && clock.Since(r.Task.ConfirmedAt()) < r.maxAge() {
 		return votesPause
 	}
 	if current := r.Task.Current(); current.Version > r.state.Version {
@@ -85,7 +86,7 @@
 	if err == nil {
 		err = r.take(source, a, now)
 	}
-	if err != nil || !r.confirmed || !isFresh(a, provedAt(a, now)) {
+	if err != nil || !r.confirmed || !r.isFresh(a, provedAt(a, now)) {
 		r.choice.next(clock.Now())
 	}
 	switch {
@@ -99,8 +100,15 @@
 }
 
 // isFresh reports whether the proof behind an answer is young enough.
-func isFresh(a Answer, provedAt time.Time) bool {
-	return a.Proved && clock.Since(provedAt) < maxAge
+func (p *Poller) isFresh(a Answer, provedAt time.Time) bool {
+	return a.Proved && clock.Since(provedAt) < p.maxAge()
+}
+
+func (p *Poller) maxAge() time.Duration {
+	if p.MaxAge > 0 {
+		return p.MaxAge
+	}
+	return maxAge
 }
 
 // provedAt is a time, by this daemon's clock, at which the proof behind an
@@ -128,7 +136,7 @@
 	if source.Member != "" {
 		r.votes.add(source.Member)
 	}
-	if !r.confirmed && (isFresh(a, provedAt(a, asked)) || r.votes.majority(next.Cells[r.Cell].Members)) {
+	if !r.confirmed && (r.isFresh(a, provedAt(a, asked)) || r.votes.majority(next.Cells[r.Cell].Members)) {
 		r.confirmed = true
 		r.choice = choice{since: asked}
 	}
--- a/internal/configsync/task_test.go
+++ b/internal/configsync/task_test.go
@@ -252,3 +252,45 @@
 		is.Equal(got, s)
 	}
 }
+
+// TestCutOffVoterIsLeftSoon holds that daemons which ask voters directly have a
+// change within three seconds though the voter that they ask is cut off from
+// the others as the change comes.
+func TestCutOffVoterIsLeftSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newFleet(ctx, 1)
+		connected, cut := context.WithCancel(ctx)
+		voter := configsync.NewTask(codec, func(*config.State) {})
+		f.tasks["cut"] = voter
+		go func() { _ = voter.Serve(ctx) }()
+		go func() {
+			for connected.Err() == nil {
+				voter.Offer(configsync.Update{State: f.state, ConfirmedAt: time.Now(), Confirmed: true})
+				time.Sleep(time.Second)
+			}
+		}()
+		for i := range 6 { // each begins with the voter that its name leads to
+			p := &configsync.Poller{
+				Self: core.VM(fmt.Sprint("e", i)), Voters: func() []string { return []string{"cut", "registry"} },
+				Coordinator: func() core.VM { return "" }, Task: configsync.NewTask(codec, func(*config.State) {}),
+				Client: client{f, fmt.Sprint("e", i)}, MaxAge: configsync.VoterAge,
+			}
+			f.mu.Lock()
+			f.tasks[string(p.Self)] = p.Task
+			f.mu.Unlock()
+			go func() { _ = p.Task.Serve(ctx) }()
+			go func() { _ = p.Serve(ctx) }()
+		}
+		time.Sleep(5 * time.Second)
+		cut()
+		f.change(workspace(7))
+		time.Sleep(3 * time.Second)
+		for i := range 6 {
+			is.Equal(f.version(fmt.Sprint("e", i)), f.state.Version)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -61,6 +61,7 @@
 	member := raft.Member{VM: self, Address: o.Inner.Address}
 	e.poller = &configsync.Poller{
 		Self: self, Voters: e.sources, Coordinator: func() core.VM { return "" }, Task: e.copy,
+		MaxAge: configsync.VoterAge,
 		Client: innerproto.NewRegistryClient(member, newTransport()),
 	}
 	e.relay = &relay.Relay{Balancer: e.balance, Sender: o.Sender, Record: e.record}
