--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -43,9 +43,14 @@
 	if b.rate <= 0 || b.burst < 1 {
 		return 0, true
 	}
-	return time.Duration((1 - b.tokens) / b.rate * float64(time.Second)), false
+	seconds := min((1-b.tokens)/b.rate, maxNextToken.Seconds())
+	return time.Duration(seconds * float64(time.Second)), false
 }
 
+// maxNextToken bounds the result of NextToken. Rates that are the difference of
+// two sums can be so small that the wait would overflow a time.Duration.
+const maxNextToken = time.Hour
+
 func (b *Bucket) fill(now time.Time) {
 	if d := now.Sub(b.filledAt); d > 0 {
 		b.tokens = min(b.burst, b.tokens+d.Seconds()*b.rate)
