Send nothing to targets that leave or rest; divide rates by usual demand, under leases

(1) A target that leaves says so in its answers, and a full one says in its 503 for how long it wants nothing: neither was read. News that an older incarnation is gone overwrote the newer one. A target that announces its stop kept its keys until a later heartbeat. (2) At 285 entry VMs half of each rate stayed with the leader, so that nearly every request drew from it; a new leader supplied nothing for 1.6 s.

(1) balance/departure.go: an answer that says the target leaves ends new work there at once, also against a leader that lists it again, until a later incarnation; the report tells the leader, which moves the keys. Rests are kept. The answer to the heartbeat that announces the stop already leaves the keys out, if another target can take them.

TestRateIsCharged now sends the leader's periodic answers, without which the lease ends: it checks as much as before.

--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -20,7 +20,7 @@
 	b := p.bucketOf(r.Workspace)
 	b.countDemand(now)
 	switch {
-	case b.take(now):
+	case now.Before(p.sharesUntil) && b.take(now):
 		return false, nil
 	case !now.Before(b.noDrawBefore):
 		return true, nil
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -3,8 +3,8 @@
 // this VM's part of the limits that all entry VMs share: the request rates of
 // workspaces, the allowances of cold targets and the retry budgets.
 //
-// The decisions are in this file, admission.go, choose.go, keyload.go, limits.go
-// and target.go; the task is in task.go and task_draw.go.
+// The decisions are in this file, admission.go, choose.go, departure.go,
+// keyload.go, limits.go and target.go; the task is in task.go and task_draw.go.
 package balance
 
 import (
@@ -41,7 +41,11 @@
 	budgets         map[core.Service]*retryBudget
 	processingTimes map[string]*processingTime // by route name
 	splits          map[string]*split          // by route name
+	sharesUntil     time.Time                  // end of the lease on this VM's shares
 	keyLoads        keyLoads
+	// leaving holds the targets that said in an answer that they leave. It outlasts
+	// the targets themselves: a leader that doesn't know yet may list one again.
+	leaving map[core.TargetID]departure
 }
 
 // NewPool returns a pool without targets for a VM in the data centre home.
@@ -51,6 +55,7 @@
 		targets: map[core.TargetID]*target{}, services: map[core.Service][]*target{},
 		entryVMs: 1, buckets: map[core.Workspace]*bucket{}, budgets: map[core.Service]*retryBudget{},
 		processingTimes: map[string]*processingTime{}, splits: map[string]*split{}, keyLoads: newKeyLoads(),
+		leaving: map[core.TargetID]departure{},
 	}
 }
 
@@ -64,6 +69,9 @@
 		}
 	}
 	p.state = s
+	for _, t := range p.targets {
+		p.noteDraining(t, now)
+	}
 	if !p.limitsReceived && s.EntryVMs > 0 {
 		p.assumeEvenShares(now)
 	}
@@ -75,6 +83,7 @@
 // of this VM is unknown until then, it is set past the last one.
 func (p *Pool) assumeEvenShares(now time.Time) {
 	p.entryVMs, p.index = p.state.EntryVMs, p.state.EntryVMs
+	p.sharesUntil = now.Add(fleet.ShareLease)
 	fraction := 1 / float64(p.state.EntryVMs)
 	for name, tenancy := range p.state.Catalog.Tenants {
 		b := p.bucketOf(name)
@@ -101,33 +110,33 @@
 	for _, s := range n.Targets {
 		p.applyTarget(s, now)
 	}
+	p.sharesUntil = now.Add(fleet.ShareLease)
 	for _, s := range n.Shares {
 		p.bucketOf(s.Workspace).setShare(s, now)
 	}
 }
 
 // applyTarget adds, updates or removes one target. An update about an
-// incarnation older than the known one does not remove the target.
+// incarnation older than the known one changes nothing.
 func (p *Pool) applyTarget(s fleet.TargetState, now time.Time) {
 	t := p.targets[s.ID]
 	switch {
-	case s.Gone && t == nil:
+	case s.Gone && t == nil, t != nil && s.Incarnation < t.Incarnation && s.Incarnation != 0:
 		return
-	case s.Gone && (s.Incarnation >= t.Incarnation || s.Incarnation == 0):
-		p.remove(t)
+	case s.Gone:
+		p.applyGone(t, s, now)
 		return
 	case t == nil || s.Incarnation > t.Incarnation:
 		if t != nil {
 			p.remove(t)
 		}
-		t = newTarget(s.Target, now)
-		if now.Sub(p.firstUpdateAt) > startupPeriod {
-			t.joinedAt = now
-		}
-		p.targets[s.ID] = t
-		p.services[s.Service] = append(p.services[s.Service], t)
+		t = p.add(s, now)
+	}
+	t.Target, t.granted, t.confirmed, t.departed = s.Target, s.Granted, true, false
+	if d, ok := p.leaving[t.ID]; ok && d.incarnation == t.Incarnation {
+		t.Draining = true
 	}
-	t.Target, t.granted, t.confirmed = s.Target, s.Granted, true
+	p.noteDraining(t, now)
 	wasCold := t.coldUntil.After(now)
 	t.coldUntil = now.Add(s.ColdFor)
 	switch {
@@ -138,6 +147,16 @@
 	}
 }
 
+func (p *Pool) add(s fleet.TargetState, now time.Time) *target {
+	t := newTarget(s.Target, now)
+	if now.Sub(p.firstUpdateAt) > startupPeriod {
+		t.joinedAt = now
+	}
+	p.targets[s.ID] = t
+	p.services[s.Service] = append(p.services[s.Service], t)
+	return t
+}
+
 func (p *Pool) remove(t *target) {
 	delete(p.targets, t.ID)
 	list := p.services[t.Service]
@@ -153,7 +172,11 @@
 // targets of keyed services that have minSamples new observations, and the
 // demand of workspaces that send requests here or hold a share here.
 func (p *Pool) Report(self core.VM, now time.Time) fleet.Report {
+	p.forgetDeparted(now)
 	report := fleet.Report{VM: self, NoShares: !p.limitsReceived, KeyLoads: p.keyLoads.report(now)}
+	for id, d := range p.leaving {
+		report.Leaving = append(report.Leaving, fleet.LeavingTarget{Target: id, Incarnation: d.incarnation})
+	}
 	for id, t := range p.targets {
 		if t.samples >= minSamples && p.state.Catalog.Services[t.Service].Keyed {
 			report.ServiceTimes = append(report.ServiceTimes, fleet.TargetServiceTime{Target: id, Factor: t.speed})
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -287,6 +287,9 @@
 	admitted := 0
 	for i := range 1000 { // 100 a second for ten seconds
 		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		if i%50 == 0 { // the leader's next answer, which extends the lease on the shares
+			p.ApplyUpdate(fleet.Update{Term: 1, EntryVMs: 10}, now)
+		}
 		err := p.admitWithoutDraw(r, now)
 		if err == nil {
 			admitted++
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -178,7 +178,7 @@
 		if t.tried || t.joinedAt.IsZero() || now.Sub(t.joinedAt) >= newTargetPeriod {
 			continue
 		}
-		if !p.draining(t) && !slices.Contains(r.Tried, t.ID) && p.withinColdAllowance(t, now) && !t.suspect(now, p.responseTimeout(t, r, now)) {
+		if !p.draining(t) && !t.resting(now) && !slices.Contains(r.Tried, t.ID) && p.withinColdAllowance(t, now) && !t.suspect(now, p.responseTimeout(t, r, now)) {
 			return t
 		}
 	}
@@ -198,7 +198,7 @@
 	var bestCost float64
 	bestSuspect := true
 	for _, t := range p.services[r.Service] {
-		if p.draining(t) || slices.Contains(r.Tried, t.ID) || !p.withinColdAllowance(t, now) {
+		if p.draining(t) || t.resting(now) || slices.Contains(r.Tried, t.ID) || !p.withinColdAllowance(t, now) {
 			continue
 		}
 		suspect := t.suspect(now, p.responseTimeout(t, r, now))
@@ -215,13 +215,6 @@
 	return best, nil
 }
 
-// draining reports whether t gets no new requests: the target itself announced
-// that it is draining, it is retired in the configuration, or its data centre
-// is evacuated.
-func (p *Pool) draining(t *target) bool {
-	return t.Draining || p.state.Evacuated[t.DataCentre] || p.state.IsRetired(t.ID, t.Incarnation)
-}
-
 // refusedKeyPause is how long a target that refused a key gets no further
 // requests for keys of the same assignment.
 const refusedKeyPause = 300 * time.Millisecond
@@ -248,8 +241,13 @@
 		return nil, true, p.ownerUnavailable(r, "owner %s of key %d has not received the grant with fence %d yet", held.Owner, r.Key, held.Fence)
 	case t.refusedFence == held.Fence && now.Sub(t.refusedAt) < refusedKeyPause:
 		return nil, true, p.ownerUnavailable(r, "owner %s refused key %d", held.Owner, r.Key)
-	case p.draining(t):
+	case p.draining(t) && now.Sub(t.drainingSince) >= drainingOwnerGrace:
 		return nil, true, p.ownerUnavailable(r, "owner %s of key %d is draining", held.Owner, r.Key)
+	case t.resting(now):
+		err := p.ownerUnavailable(r, "owner %s of key %d is full and wants no requests from this entry VM for a while", held.Owner, r.Key)
+		rest := t.restUntil.Sub(now)
+		err.RetryAfter = p.withJitter(rest)
+		return nil, rest < maxRestWait, err
 	case t.suspect(now, ownerTimeoutFactor*p.responseTimeout(t, r, now)):
 		return nil, true, p.ownerUnavailable(r, "owner %s of key %d does not respond", held.Owner, r.Key)
 	case !p.withinColdAllowance(t, now):
@@ -280,6 +278,8 @@
 	NotOwner    bool          // the target refused the key because it does not own it
 	Load        *Load         // reported with the answer, or nil
 	ColdFor     time.Duration // remaining time that the target reports to be cold
+	Leaving     bool          // the target said that it is about to stop
+	RestFor     time.Duration // how long the target, which refused, asked to get nothing from this VM
 	At          time.Time
 }
 
@@ -306,6 +306,12 @@
 	if o.ColdFor > 0 {
 		t.coldUntil = o.At.Add(o.ColdFor)
 	}
+	if o.Leaving {
+		p.markLeaving(t, o.At)
+	}
+	if rest := o.At.Add(min(o.RestFor, maxRest)); rest.After(t.restUntil) {
+		t.restUntil = rest
+	}
 	t.failureRate += smoothing * (indicator(o.Failed) - t.failureRate)
 	t.refusalRate += smoothing * (indicator(o.Refused) - t.refusalRate)
 	switch {
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -10,19 +10,26 @@
 // bucket is the token bucket for this VM's share of one workspace's rate. It
 // also measures the demand and spaces the retry times of refused callers.
 type bucket struct {
-	rate, burst   float64 // tokens per second, and the most that accumulate
-	tokens        float64
-	hasShare      bool // a share was assigned before; the bucket is full at the first one
-	refilledAt    time.Time
-	averageDemand float64 // demand at demandAt in requests per second, decaying average
-	demandAt      time.Time
-	retryAt       time.Time // time for which the newest refused caller was asked to retry
-	noDrawBefore  time.Time // earliest time of the next draw from the leader
+	rate, burst float64 // tokens per second, and the most that accumulate
+	tokens      float64
+	hasShare    bool // a share was assigned before; the bucket is full at the first one
+	refilledAt  time.Time
+	// recentDemand and usualDemand are decaying averages of the demand at demandAt
+	// in requests per second, with demandTimeConstant and usualDemandTimeConstant.
+	recentDemand, usualDemand float64
+	demandAt                  time.Time
+	retryAt                   time.Time // time for which the newest refused caller was asked to retry
+	noDrawBefore              time.Time // earliest time of the next draw from the leader
 }
 
-// demandTimeConstant is the time constant of the decaying average of a
-// workspace's demand.
-const demandTimeConstant = 2 * time.Second
+const (
+	// demandTimeConstant is short, so that callers that are new here get a share
+	// after their first requests.
+	demandTimeConstant = 2 * time.Second
+	// usualDemandTimeConstant is long, so that callers that send less than one
+	// request per second keep their share between two requests.
+	usualDemandTimeConstant = 5 * time.Second
+)
 
 // minReportedDemand is the smallest demand that is reported, in requests per
 // second. A single request falls below it after some ten seconds.
@@ -55,16 +62,24 @@
 
 // countDemand adds a request to the demand, whether or not it is admitted.
 func (b *bucket) countDemand(now time.Time) {
-	b.averageDemand = b.demand(now) + 1/demandTimeConstant.Seconds()
+	b.decayDemand(now)
+	b.recentDemand += 1 / demandTimeConstant.Seconds()
+	b.usualDemand += 1 / usualDemandTimeConstant.Seconds()
+}
+
+func (b *bucket) decayDemand(now time.Time) {
+	if !b.demandAt.IsZero() {
+		b.recentDemand *= exponentialDecay(now.Sub(b.demandAt), demandTimeConstant)
+		b.usualDemand *= exponentialDecay(now.Sub(b.demandAt), usualDemandTimeConstant)
+	}
 	b.demandAt = now
 }
 
-// demand returns the current demand in requests per second.
+// demand returns the demand in requests per second: the recent or the usual one,
+// whichever is higher.
 func (b *bucket) demand(now time.Time) float64 {
-	if b.demandAt.IsZero() {
-		return 0
-	}
-	return b.averageDemand * exponentialDecay(now.Sub(b.demandAt), demandTimeConstant)
+	b.decayDemand(now)
+	return max(b.recentDemand, b.usualDemand)
 }
 
 // exponentialDecay approximates exp(-x), with x = age/timeConstant, by
@@ -92,7 +107,7 @@
 	if b.rate <= 0 {
 		return noShareRetryAfter
 	}
-	interval := time.Duration(float64(time.Second) / b.rate)
+	interval := time.Duration(float64(time.Second) / max(b.rate, minSpacingRate))
 	if next := now.Add(time.Duration((1 - b.tokens) * float64(interval))); b.retryAt.Before(next) {
 		b.retryAt = next
 	} else {
@@ -104,6 +119,10 @@
 	return max(b.retryAt.Sub(now), minRetryAfter)
 }
 
+// minSpacingRate bounds the time between two refused callers' retries: a share can
+// be so small that its inverse overflows a time.Duration.
+const minSpacingRate = 0.01 // requests per second
+
 // maxRetryAfter is the longest retry time given to a refused caller; the demand
 // beyond it can't be predicted.
 const maxRetryAfter = 5 * time.Second
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -53,9 +53,14 @@
 	refusedFence core.Version // fence under which the target refused keys
 	refusedAt    time.Time
 	answeredAt   time.Time
-	joinedAt     time.Time            // zero for targets that were there when this VM started
-	tried        bool                 // this VM has sent it a request
-	pending      map[uint64]time.Time // send times of unanswered requests by ticket
+	restUntil    time.Time // the target asked this VM to send it nothing before this time
+	// drainingSince is when this VM first knew that the target gets no new work;
+	// zero if it may get some.
+	drainingSince time.Time
+	departed      bool                 // the leader listed the target as gone after a planned stop
+	joinedAt      time.Time            // zero for targets that were there when this VM started
+	tried         bool                 // this VM has sent it a request
+	pending       map[uint64]time.Time // send times of unanswered requests by ticket
 }
 
 func newTarget(t core.Target, now time.Time) *target {
@@ -120,6 +125,9 @@
 	}
 }
 
+// resting reports whether the target asked this VM to send it nothing yet.
+func (t *target) resting(now time.Time) bool { return t.restUntil.After(now) }
+
 // cold reports whether the target may be cold.
 func (t *target) cold(now time.Time) bool {
 	return t.coldUntil.After(now) || t.probationEnd.After(now)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -184,9 +184,32 @@
 	if !ok || !class.Keyed {
 		return Grant{}, true
 	}
+	if t.Draining && l.hasOtherOwner(t, s, now) {
+		l.revokeAll(t, s, now)
+	}
 	return l.grant(t, s, now), true
 }
 
+// hasOtherOwner reports whether another target could take over the keys of t.
+func (l *LeaderState) hasOtherOwner(t *target, s *config.State, now time.Time) bool {
+	for _, other := range l.targets {
+		if other != t && other.Service == t.Service && l.assignable(other, s, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// revokeAll revokes all ranges of t, so that the answer to its heartbeat leaves
+// them out and t releases them at once.
+func (l *LeaderState) revokeAll(t *target, s *config.State, now time.Time) {
+	for _, r := range s.Keys[t.Service] {
+		if r.Owner == t.ID && r.Life == t.Incarnation {
+			t.revoke(r, now)
+		}
+	}
+}
+
 // register adds a new target or a new incarnation of a known one, previous. Any
 // other target with the same address is marked as gone.
 func (l *LeaderState) register(h Heartbeat, previous *target) *target {
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -12,6 +12,11 @@
 // entryVMTimeout is how long after its last report an entry VM keeps its shares.
 const entryVMTimeout = 5 * time.Second
 
+// ShareLease is how long after the leader's last answer an entry VM may use its
+// shares. It ends before the leader divides them anew: the leader received the
+// report up to one poll before the answer arrived.
+const ShareLease = entryVMTimeout - askTimeout - 300*time.Millisecond
+
 // Demand is an entry VM's report about one workspace.
 type Demand struct {
 	Workspace   core.Workspace
@@ -32,6 +37,12 @@
 	Factor float64 // 2 means twice as long as the average
 }
 
+// LeavingTarget is a target that said in an answer that it is about to stop.
+type LeavingTarget struct {
+	Target      core.TargetID
+	Incarnation core.Incarnation
+}
+
 // Report is an entry VM's report to the leader.
 type Report struct {
 	VM           core.VM
@@ -39,6 +50,7 @@
 	Demand       []Demand
 	KeyLoads     []KeyLoad
 	ServiceTimes []TargetServiceTime // of targets that answered recently
+	Leaving      []LeavingTarget
 }
 
 // Share is the part of a workspace's rate that one entry VM may admit.
@@ -80,6 +92,7 @@
 	l.recordDemand(e, r.Demand)
 	e.keyLoads = r.KeyLoads
 	l.recordServiceTimes(r.ServiceTimes)
+	l.recordLeaving(r.Leaving)
 	collectionTime := reportCollectionTime
 	if r.NoShares {
 		collectionTime = freshCollectionTime
@@ -92,7 +105,7 @@
 			continue
 		}
 		before := e.grantedRate(t.Name)
-		if share := l.share(e, t); share.Rate > 0 || before > 0 {
+		if share := l.share(e, t, s, now); share.Rate > 0 || before > 0 {
 			shares = append(shares, share)
 		}
 	}
@@ -163,6 +176,17 @@
 	}
 }
 
+// recordLeaving marks targets as draining that told an entry VM so. Load pattern: a
+// target that stops can reach entry VMs, but its heartbeats don't arrive here.
+func (l *LeaderState) recordLeaving(leaving []LeavingTarget) {
+	for _, r := range leaving {
+		if t := l.targets[r.Target]; t != nil && t.Incarnation == r.Incarnation && !t.Draining {
+			t.Draining = true
+			l.markChanged(t)
+		}
+	}
+}
+
 // relativeServiceTime returns the service time of t relative to other targets, 1 if
 // unknown.
 func (t *target) relativeServiceTime() float64 {
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -82,7 +82,7 @@
 	// its burst reserve that is divided into shares. Entry VMs draw from the rest
 	// when they run out of tokens. Load pattern: an entry VM receives less than one
 	// request per second of a workspace, so that no share matches its next demand.
-	minDividedFraction = 0.5
+	minDividedFraction = 0.75
 	maxDividedFraction = 0.9
 	// midpointRate is the rate per entry VM, in requests per second, at which the
 	// divided fraction is halfway between the two limits. The demand on one entry VM
@@ -96,13 +96,13 @@
 // share returns an entry VM's share of the divided part of a workspace's rate and
 // burst reserve, mostly in proportion to demand. It grants only what other entry
 // VMs don't hold: a share grows only after others have released theirs.
-func (l *LeaderState) share(e *entryVM, t config.Tenancy) Share {
+func (l *LeaderState) share(e *entryVM, t config.Tenancy, s *config.State, now time.Time) Share {
 	a, alloc := l.allocationOf(t.Name), e.allocations[t.Name]
 	if alloc == nil {
 		alloc = &allocation{}
 		e.allocations[t.Name] = alloc
 	}
-	divided := l.dividedFraction(t)
+	divided := l.dividedFraction(t, s)
 	reserve := divided * l.burstReserve(t)
 	even := l.evenFraction(reserve)
 	fair := even / float64(len(l.entryVMs))
@@ -115,6 +115,9 @@
 	}
 	others := a.granted - alloc.granted
 	share := Share{Workspace: t.Name, Rate: min(fair*rate, max(rate-others, 0)), Burst: fair * reserve}
+	if l.mayHoldUnreported(s, now) {
+		share.Rate = min(share.Rate, alloc.granted)
+	}
 	if share.Burst < 1 {
 		// The bucket could never hold a whole token, so the share is left for draws.
 		share.Rate, share.Burst = 0, 0
@@ -123,6 +126,13 @@
 	return share
 }
 
+// mayHoldUnreported reports whether an entry VM that has not reported in this term
+// may hold shares from the previous leader. No share grows until then. Load
+// pattern: an entry VM is cut off while the leader changes, and its callers go on.
+func (l *LeaderState) mayHoldUnreported(s *config.State, now time.Time) bool {
+	return len(l.entryVMs) < s.EntryVMs && now.Sub(l.termStart) < ShareLease
+}
+
 // evenFraction returns the fraction of the divided rate that is divided evenly.
 // Load pattern: a few entry VMs can't reach the leader while callers move between
 // entry VMs.
@@ -136,8 +146,8 @@
 
 // dividedFraction returns the fraction of a workspace's rate and burst reserve that
 // is divided into shares.
-func (l *LeaderState) dividedFraction(t config.Tenancy) float64 {
-	ratePerVM := t.Rate / float64(max(len(l.entryVMs), 1))
+func (l *LeaderState) dividedFraction(t config.Tenancy, s *config.State) float64 {
+	ratePerVM := t.Rate / float64(max(len(l.entryVMs), s.EntryVMs, 1))
 	return minDividedFraction + (maxDividedFraction-minDividedFraction)*ratePerVM/(ratePerVM+midpointRate)
 }
 
@@ -154,14 +164,23 @@
 func (l *LeaderState) supply(w quota.Want, s *config.State, now time.Time) quota.Supply {
 	supply := quota.Supply{Workspace: w.Workspace, RetryAfter: minDrawRetry}
 	t, ok := s.Catalog.Tenants[w.Workspace]
-	if !ok || t.Dropped || now.Sub(l.termStart) < reportCollectionTime {
+	if !ok || t.Dropped {
 		return supply
 	}
 	a := l.allocationOf(t.Name)
-	a.undivided.SetRate(max(t.Rate-a.granted, 0), (1-l.dividedFraction(t))*l.burstReserve(t), now)
+	undivided := 1 - l.dividedFraction(t, s)
+	rate := max(t.Rate-a.granted, 0)
+	if now.Sub(l.termStart) < reportCollectionTime || l.mayHoldUnreported(s, now) {
+		// The previous leader never divided more than the rest.
+		rate = min(rate, undivided*t.Rate)
+	}
+	if a.undivided == (quota.Bucket{}) {
+		a.undivided = quota.NewBucket(rate, undivided*l.burstReserve(t), l.termStart)
+	}
+	a.undivided.SetRate(rate, undivided*l.burstReserve(t), now)
 	supply.Tokens = a.undivided.Take(w.Tokens, now)
 	if wait, never := a.undivided.NextToken(); !never {
-		supply.RetryAfter = max(wait, minDrawRetry)
+		supply.RetryAfter = min(max(wait, minDrawRetry), maxDrawRetry)
 	}
 	return supply
 }
@@ -171,6 +190,9 @@
 // each of their requests.
 const minDrawRetry = 250 * time.Millisecond
 
+// maxDrawRetry bounds that time: entry VMs return their shares at any moment.
+const maxDrawRetry = time.Second
+
 // burstReserve returns the number of requests of a workspace that all entry VMs
 // together may admit at once. It is as high as the limit of Quota on any window
 // permits: an entry VM receives a small part of the requests, so its demand varies
--- a/internal/innerproto/fleet.go
+++ b/internal/innerproto/fleet.go
@@ -41,6 +41,9 @@
 	for _, v := range r.GetSpeeds() {
 		q.ServiceTimes = append(q.ServiceTimes, fleet.TargetServiceTime{Target: core.TargetID(v.GetTarget()), Factor: float64(v.GetSpeed())})
 	}
+	for _, t := range r.GetLeaving() {
+		q.Leaving = append(q.Leaving, fleet.LeavingTarget{Target: core.TargetID(t.GetTarget()), Incarnation: core.Incarnation(t.GetLife())})
+	}
 	n, err := s.service.Poll(ctx, q)
 	if err != nil {
 		return nil, resultToTwirp(err)
@@ -101,6 +104,9 @@
 	for _, v := range q.ServiceTimes {
 		r.Speeds = append(r.Speeds, &innerpb.TargetSpeed{Target: string(v.Target), Speed: float32(v.Factor)})
 	}
+	for _, t := range q.Leaving {
+		r.Leaving = append(r.Leaving, &innerpb.LeavingTarget{Target: string(t.Target), Life: uint64(t.Incarnation)})
+	}
 	w, err := innerpb.NewFleetProtobufClient("http://"+address, c.client).Report(ctx, r)
 	if err != nil {
 		return fleet.Update{}, resultFromTwirp(err)
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -38,6 +38,10 @@
 	Err    *result.Error
 	Load   *balance.Load // reported by the target, or nil
 	Cold   time.Duration // remaining time that the target reports to be cold
+	// Leaving reports that the target said in its answer that it is about to stop.
+	Leaving bool
+	// Rest is how long a target that refused asked to get nothing from this VM.
+	Rest time.Duration
 }
 
 // Sender sends a request to one target, once.
@@ -150,7 +154,8 @@
 	now := clock.Now()
 	o := balance.Outcome{
 		Ticket: f.choice.Ticket, Target: f.choice.Target.ID, Incarnation: f.choice.Target.Incarnation, Route: a.Route,
-		Key: a.ShardKey, Latency: now.Sub(start), Load: sent.Load, ColdFor: sent.Cold, At: now,
+		Key: a.ShardKey, Latency: now.Sub(start), Load: sent.Load, ColdFor: sent.Cold,
+		Leaving: sent.Leaving, RestFor: sent.Rest, At: now,
 	}
 	if sent.Err == nil {
 		o.Answered, o.Failed = true, sent.Answer.Status >= minFailureStatus
