Split busy ranges into many parts at once and move them while others move

A rebalancing pass ran once a second, split each busy range in two, moved nothing in a pass that split, and none while any earlier move was under way. Load was counted for sent requests only, so that a full owner looked less loaded than it was, over two to four seconds.

Entry VMs count the demand for keys, also what they refuse, over one to two seconds. Free keys avoid targets in their cold start. Parts of a range that was split after its revocation stay revoked until they have their next owner.

Not solved: ranges are still never joined.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -90,9 +90,6 @@
 		e.RetryAfter = p.withJitter(expected - left + minRetryAfter)
 		return Choice{}, false, e
 	}
-	if class.Keyed {
-		p.keyLoads.add(r.Service, r.Key, p.processingTimeOf(r.Route).mean, now)
-	}
 	best.inFlight++
 	best.tried = true
 	best.pending[ticket] = now
--- a/internal/balance/keyload.go
+++ b/internal/balance/keyload.go
@@ -9,7 +9,7 @@
 
 // keyLoadWindow is the length of one measuring window. The load covers two
 // windows: the current one and the one before it.
-const keyLoadWindow = 2 * time.Second
+const keyLoadWindow = time.Second
 
 // minSamples is the number of speed observations of a target before its speed is
 // reported.
@@ -46,6 +46,14 @@
 	}
 }
 
+// CountDemand counts a request that asks for a key, whether or not its owner can
+// serve it: keys whose owner is full need more room than it has.
+func (p *Pool) CountDemand(r Request, now time.Time) {
+	if class, _ := p.state.Catalog.Service(r.Service); class.Keyed && r.HasKey {
+		p.keyLoads.add(r.Service, r.Key, p.processingTimeOf(r.Route).mean, now)
+	}
+}
+
 func (l *keyLoads) add(service core.Service, key uint32, busy time.Duration, now time.Time) {
 	l.rotate(now)
 	l.current[serviceKey{service, key}] += busy.Seconds()
--- a/internal/balance/task.go
+++ b/internal/balance/task.go
@@ -183,6 +183,7 @@
 	now := clock.Now()
 	if m.first {
 		m.Service = r.pool.Split(m.Route)
+		r.pool.CountDemand(m.Request, now)
 		draw, err := r.pool.Admit(m.Request, now)
 		switch {
 		case err != nil:
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -2,7 +2,7 @@
 // registers targets from their heartbeats, assigns ranges of keys to them under
 // leases, and divides the rate of each workspace among the entry VMs. Entry VMs
 // follow its state by long polls. Decisions: this file, keys.go, placement.go,
-// reports.go, shares.go, cold.go and roster.go. Tasks: task.go and
+// rebalance.go, keyload.go, reports.go, shares.go, cold.go and roster.go. Tasks: task.go and
 // task_targets.go on control VMs, task_follow.go on entry VMs.
 package fleet
 
@@ -118,8 +118,8 @@
 	changedSequence   uint64 // LeaderState.sequence of the newest change that entry VMs must receive
 	holds             []HeldRange
 	released          []Release
-	revoked           map[Span]time.Time // ranges that answers leave out, with the time of revocation
-	serviceTimeFactor float64            // service time relative to other targets, 0 if unknown
+	revoked           map[Span]revocation // ranges that answers leave out
+	serviceTimeFactor float64             // service time relative to other targets, 0 if unknown
 }
 
 // LeaderState is the leader's state in one term. It is not safe for concurrent use.
@@ -136,6 +136,8 @@
 	entryVMs    map[core.VM]*entryVM
 	pending     map[core.Service][]Span // ranges in proposals whose outcome is unknown
 	allocations map[core.Workspace]*workspaceAllocation
+	// usualKeyLoads holds the moving average of the load of each key, by service.
+	usualKeyLoads map[core.Service][]float64
 	// lastRebalance is the time of the last rebalancing pass.
 	lastRebalance time.Time
 }
@@ -154,6 +156,7 @@
 	l.entryVMs = map[core.VM]*entryVM{}
 	l.pending = map[core.Service][]Span{}
 	l.allocations = map[core.Workspace]*workspaceAllocation{}
+	l.usualKeyLoads = map[core.Service][]float64{}
 	l.lastRebalance = start
 }
 
@@ -205,7 +208,7 @@
 func (l *LeaderState) revokeAll(t *target, s *config.State, now time.Time) {
 	for _, r := range s.Keys[t.Service] {
 		if r.Owner == t.ID && r.Life == t.Incarnation {
-			t.revoke(r, now)
+			t.revoke(r, "", now)
 		}
 	}
 }
@@ -218,7 +221,7 @@
 			l.markGone(other)
 		}
 	}
-	t := &target{Target: h.Target, revoked: map[Span]time.Time{}}
+	t := &target{Target: h.Target, revoked: map[Span]revocation{}}
 	if previous != nil {
 		t.changedSequence = previous.changedSequence
 	}
--- a/internal/fleet/keys.go
+++ b/internal/fleet/keys.go
@@ -128,8 +128,8 @@
 // provesNotHeld reports whether a heartbeat without r was received so long after
 // its revocation that no earlier answer, which granted r, can still take effect.
 func (t *target) provesNotHeld(r config.KeyRange) bool {
-	for span, since := range t.revoked {
-		if span.First <= r.First && r.Last <= span.Last && t.lastHeartbeat.Sub(since) > ackWindow {
+	for span, revocation := range t.revoked {
+		if span.First <= r.First && r.Last <= span.Last && t.lastHeartbeat.Sub(revocation.since) > ackWindow {
 			return !slices.ContainsFunc(t.holds, func(h HeldRange) bool { return h.overlaps(Span{r.First, r.Last}) })
 		}
 	}
@@ -158,9 +158,9 @@
 			continue
 		}
 		if rebalance {
-			if split, ok := p.rebalance(); ok {
-				changes = append(changes, split)
-				continue
+			l.updateUsualKeyLoad(class.Name)
+			if at := p.rebalance(); len(at) > 0 {
+				changes = append(changes, config.SplitKeys{Service: class.Name, At: at})
 			}
 		}
 		if ranges := p.assign(); len(ranges) > 0 {
@@ -183,10 +183,27 @@
 			if t.Service != c.Service {
 				continue
 			}
-			delete(t.revoked, span)
+			t.endRevocation(span)
 			t.released = slices.DeleteFunc(t.released, func(rel Release) bool {
 				return rel.First >= span.First && rel.Last <= span.Last
 			})
 		}
 	}
 }
+
+// endRevocation ends the revocation of span. Parts of a revoked range that was
+// split in the meantime and that lie outside span stay revoked.
+func (t *target) endRevocation(span Span) {
+	for revoked, revocation := range t.revoked {
+		if !revoked.overlaps(span) {
+			continue
+		}
+		delete(t.revoked, revoked)
+		if revoked.First < span.First {
+			t.revoked[Span{revoked.First, span.First - 1}] = revocation
+		}
+		if revoked.Last > span.Last {
+			t.revoked[Span{span.Last + 1, revoked.Last}] = revocation
+		}
+	}
+}
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -10,23 +10,6 @@
 )
 
 const (
-	// rebalancePeriod is the time between rebalancing passes, about as long as it
-	// takes to move a range.
-	rebalancePeriod = time.Second
-	// maxMovesPerPass limits the ranges that one pass moves away from slow targets.
-	maxMovesPerPass = 24
-	// maxMovedLoadFraction limits the fraction of the total load that one pass
-	// moves, since requests for a moving range wait for the new owner.
-	maxMovedLoadFraction = 0.2
-	// minMoveGain is the ratio of the expected latencies of a range's owner and of
-	// its new owner above which the range is moved. A move delays requests for the
-	// range by a fraction of a second.
-	minMoveGain = 1.3
-	// splitLoadFraction is the load of a range, as a fraction of the mean load of a
-	// target, above which the range is split.
-	splitLoadFraction = 0.35
-	// maxSplitsPerPass limits the splits of one pass.
-	maxSplitsPerPass = 16
 	// baseLoadPerTarget is a load in busy slots, times the number of targets, that
 	// is attributed evenly to all keys, so that idle keys are spread too.
 	baseLoadPerTarget = 0.3
@@ -36,37 +19,58 @@
 	heartbeatWaitPenalty = 0.4
 )
 
-// candidate is a target that may be assigned keys in one planning pass.
+// candidate is a target that may be assigned keys in one planning pass. Ranges on
+// their way to it count as its own.
 type candidate struct {
 	*target
+	owned  []loadedRange // ranges that it owns and that may be moved
 	ranges int
 	load   float64 // busy slots on a target of average speed
 }
 
+// loadedRange is a range of keys and its load in busy slots on a target of average
+// speed.
+type loadedRange struct {
+	config.KeyRange
+	load float64
+}
+
 // expectedLatency estimates the latency of a request on the target with extra load
 // added, relative to an idle target of average speed.
 func (c *candidate) expectedLatency(extra float64) float64 {
 	serviceTime := c.relativeServiceTime()
-	utilization := (c.load + extra) * serviceTime / float64(max(c.Slots, 1))
-	const saturatedUtilization = 0.95
-	if utilization >= saturatedUtilization {
+	utilization := c.utilization(extra)
+	if c.saturated(extra) {
 		const overloadFactor = 20 // large enough that any target with spare capacity is preferred
 		return serviceTime * (1 + overloadFactor*utilization)
 	}
 	return serviceTime * (1 + utilization*utilization*utilization/(1-utilization))
 }
 
+// utilization returns the fraction of the target's slots that are busy under its
+// load and extra, above 1 if the load is more than it can serve.
+func (c *candidate) utilization(extra float64) float64 {
+	return (c.load + extra) * c.relativeServiceTime() / float64(max(c.Slots, 1))
+}
+
+// saturated reports whether the target's queue would grow under its load and extra.
+func (c *candidate) saturated(extra float64) bool {
+	const saturatedUtilization = 0.95
+	return c.utilization(extra) >= saturatedUtilization
+}
+
 // placement decides which targets own the keys of one service, in one planning
 // pass.
 type placement struct {
-	leader         *LeaderState
-	service        core.Service
-	state          *config.State
-	now            time.Time
-	table          config.KeyTable
-	candidates     map[core.TargetID]*candidate
-	byID           []*candidate // the candidates, sorted by ID
-	cumulativeLoad []float64    // see LeaderState.cumulativeKeyLoad; nil until it is needed
+	leader     *LeaderState
+	service    core.Service
+	state      *config.State
+	now        time.Time
+	table      config.KeyTable
+	candidates map[core.TargetID]*candidate
+	byID       []*candidate // the candidates, sorted by ID
+	loads      keyLoads     // empty until countLoads
+	total      float64      // load of all keys, from countLoads
 }
 
 func (l *LeaderState) newPlacement(service core.Service, s *config.State, now time.Time) *placement {
@@ -86,11 +90,8 @@
 
 // rangeLoad returns the load of a range, including its part of the base load.
 func (p *placement) rangeLoad(r config.KeyRange) float64 {
-	if p.cumulativeLoad == nil {
-		p.cumulativeLoad = p.leader.cumulativeKeyLoad(p.service)
-	}
 	baseLoad := baseLoadPerTarget * float64(len(p.candidates)) * float64(r.Last-r.First+1) / config.KeySpace
-	return p.cumulativeLoad[r.Last+1] - p.cumulativeLoad[r.First] + baseLoad
+	return p.loads.of(r) + baseLoad
 }
 
 // assign returns ranges that no target can hold any more, each with a new owner.
@@ -118,8 +119,13 @@
 	}
 	assigned := unassigned[:0]
 	for _, r := range unassigned {
-		if c := p.pickOwner(p.rangeLoad(r)); c != nil {
-			c.load += p.rangeLoad(r)
+		load := p.rangeLoad(r)
+		if planned := p.destinationOf(r); planned != nil {
+			planned.load -= load
+			planned.ranges--
+		}
+		if c := p.pickOwner(load); c != nil {
+			c.load += load
 			c.ranges++
 			r.Owner, r.Life = c.ID, c.Incarnation
 			assigned = append(assigned, r)
@@ -138,21 +144,50 @@
 	return c
 }
 
-// countLoads adds up the ranges and the load of each candidate.
+// countLoads adds up the ranges and the load of each candidate, once in each pass.
 func (p *placement) countLoads() {
+	if p.loads.recent != nil {
+		return
+	}
+	p.loads = p.leader.keyLoadsOf(p.service)
 	for _, r := range p.table {
-		if c := p.ownerOf(r); c != nil {
+		load := p.rangeLoad(r)
+		p.total += load
+		c := p.ownerOf(r)
+		switch {
+		case c == nil:
+			c = p.destinationOf(r)
+		case !p.leader.isPending(p.service, r):
+			c.owned = append(c.owned, loadedRange{r, load})
+		}
+		if c != nil {
 			c.ranges++
-			c.load += p.rangeLoad(r)
+			c.load += load
 		}
 	}
 }
 
+// destinationOf returns the target for which r was revoked from its owner, or nil.
+func (p *placement) destinationOf(r config.KeyRange) *candidate {
+	t := p.leader.targets[r.Owner]
+	if t == nil || t.Incarnation != r.Life {
+		return nil
+	}
+	for span, revocation := range t.revoked {
+		if span.overlaps(Span{r.First, r.Last}) {
+			return p.candidates[revocation.destination]
+		}
+	}
+	return nil
+}
+
 // pickOwner returns the best new owner for a load, by expected latency and by the
-// time until the next heartbeat.
+// time until the next heartbeat. A target in its cold start is the last choice,
+// since it takes only a few requests per second.
 func (p *placement) pickOwner(load float64) *candidate {
 	var best *candidate
 	var bestCost float64
+	bestCold := true
 	interval := p.leader.parameters.HeartbeatInterval
 	for _, c := range p.byID {
 		if c.ranges >= maxRangesPerTarget {
@@ -160,8 +195,9 @@
 		}
 		untilHeartbeat := max(c.lastHeartbeat.Add(interval).Sub(p.now), 0)
 		cost := c.expectedLatency(load) * (1 + heartbeatWaitPenalty*float64(untilHeartbeat)/float64(interval))
-		if best == nil || cost < bestCost {
-			best, bestCost = c, cost
+		cold := c.coldUntil.After(p.now)
+		if best == nil || bestCold && !cold || bestCold == cold && cost < bestCost {
+			best, bestCost, bestCold = c, cost, cold
 		}
 	}
 	return best
@@ -189,135 +225,15 @@
 	for _, r := range p.table {
 		t := p.leader.targets[r.Owner]
 		if t != nil && t.Incarnation == r.Life && (t.Draining || p.state.Evacuated[t.DataCentre]) {
-			t.revoke(r, p.now)
+			t.revoke(r, "", p.now)
 		}
 	}
 }
 
-func (t *target) revoke(r config.KeyRange, now time.Time) {
-	span := Span{r.First, r.Last}
-	if _, ok := t.revoked[span]; !ok {
-		t.revoked[span] = now
-	}
-}
-
-// rebalance is one rebalancing pass. It returns a split if some ranges are too busy
-// to be moved as a whole; otherwise it revokes ranges of targets that are slow
-// under their load. Load patterns: a few neighbouring keys receive much of the
-// traffic; targets have unequal speeds; targets are added under traffic.
-func (p *placement) rebalance() (config.SplitKeys, bool) {
-	for _, c := range p.byID {
-		if len(c.revoked) > 0 {
-			return config.SplitKeys{}, false // the moves of an earlier pass haven't finished
-		}
-	}
-	p.countLoads()
-	total := 0.0
-	for _, c := range p.byID {
-		total += c.load
+// revoke revokes r, which then goes to destination if that is still the best when r
+// is free; an empty destination means that it is not known yet.
+func (t *target) revoke(r config.KeyRange, destination core.TargetID, now time.Time) {
+	if !t.isRevoked(r) {
+		t.revoked[Span{r.First, r.Last}] = revocation{now, destination}
 	}
-	if at := p.splitPoints(total / float64(len(p.byID))); len(at) > 0 {
-		return config.SplitKeys{Service: p.service, At: at}, true
-	}
-	if !p.revokeForEmpty() {
-		p.revokeFromSlow(total)
-	}
-	return config.SplitKeys{}, false
-}
-
-// revokeForEmpty revokes ranges of the targets that have the most, for targets
-// without any, and reports whether there are such targets. Load pattern: targets
-// are added to a service with little load.
-func (p *placement) revokeForEmpty() bool {
-	ranges, empty := 0, 0
-	for _, c := range p.byID {
-		ranges += c.ranges
-		if c.ranges == 0 {
-			empty++
-		}
-	}
-	const emptyTargetDivisor = 2 // a new target first gets the mean number of ranges divided by this
-	remaining := empty * max(ranges/len(p.byID)/emptyTargetDivisor, 1)
-	if empty == 0 {
-		return false
-	}
-	byRanges := slices.Clone(p.byID)
-	slices.SortStableFunc(byRanges, func(x, y *candidate) int { return cmp.Compare(y.ranges, x.ranges) })
-	for _, from := range byRanges {
-		minRanges := from.ranges - max(remaining/len(p.byID), 1)
-		for _, r := range p.rangesByLoad(from) {
-			if remaining == 0 || from.ranges <= max(minRanges, 1) {
-				break
-			}
-			from.revoke(r, p.now)
-			from.ranges--
-			remaining--
-		}
-	}
-	return true
-}
-
-// splitPoints returns the keys at which busy ranges are to be split. Each is the
-// first key of the second part.
-func (p *placement) splitPoints(mean float64) []uint32 {
-	var splitKeys []uint32
-	for _, r := range p.table {
-		c := p.ownerOf(r)
-		if c == nil || r.First == r.Last || p.rangeLoad(r) < splitLoadFraction*mean || c.ranges+1 >= maxRangesPerTarget || len(splitKeys) == maxSplitsPerPass {
-			continue
-		}
-		splitKeys = append(splitKeys, p.loadMedian(r))
-		c.ranges++
-	}
-	return splitKeys
-}
-
-// loadMedian returns the key at which a split divides the load of r most evenly; it
-// is the first key of the second part.
-func (p *placement) loadMedian(r config.KeyRange) uint32 {
-	half := (p.cumulativeLoad[r.First] + p.cumulativeLoad[r.Last+1]) / 2
-	for key := r.First + 1; key < r.Last; key++ {
-		if p.cumulativeLoad[key+1] > half {
-			return key
-		}
-	}
-	return r.Last
-}
-
-// revokeFromSlow revokes ranges of the slowest targets, the busiest first, as long
-// as another target would be faster by minMoveGain.
-func (p *placement) revokeFromSlow(total float64) {
-	bySlowness := slices.Clone(p.byID)
-	slices.SortStableFunc(bySlowness, func(x, y *candidate) int { return cmp.Compare(y.expectedLatency(0), x.expectedLatency(0)) })
-	moves, movedLoad := 0, 0.0
-	for _, from := range bySlowness {
-		for _, r := range p.rangesByLoad(from) {
-			load := p.rangeLoad(r)
-			if moves == maxMovesPerPass || movedLoad > maxMovedLoadFraction*total {
-				return
-			}
-			to := p.pickOwner(load)
-			if to == nil || to == from || from.expectedLatency(0) < minMoveGain*to.expectedLatency(load) {
-				continue
-			}
-			from.revoke(r, p.now)
-			from.load -= load
-			to.load += load
-			to.ranges++
-			moves++
-			movedLoad += load
-		}
-	}
-}
-
-// rangesByLoad returns the ranges of a target, busiest first.
-func (p *placement) rangesByLoad(c *candidate) []config.KeyRange {
-	var ranges []config.KeyRange
-	for _, r := range p.table {
-		if r.Owner == c.ID && r.Life == c.Incarnation && !p.leader.isPending(p.service, r) {
-			ranges = append(ranges, r)
-		}
-	}
-	slices.SortStableFunc(ranges, func(x, y config.KeyRange) int { return cmp.Compare(p.rangeLoad(y), p.rangeLoad(x)) })
-	return ranges
 }
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -143,23 +143,6 @@
 	}
 }
 
-// cumulativeKeyLoad returns prefix sums of the load of the keys of a service, from
-// the newest reports of all entry VMs. Element k is the load of all keys below k.
-func (l *LeaderState) cumulativeKeyLoad(service core.Service) []float64 {
-	sums := make([]float64, config.KeySpace+1)
-	for _, e := range l.entryVMs {
-		for _, k := range e.keyLoads {
-			if k.Service == service && k.Key < config.KeySpace {
-				sums[k.Key+1] += k.Busy
-			}
-		}
-	}
-	for i := 1; i < len(sums); i++ {
-		sums[i] += sums[i-1]
-	}
-	return sums
-}
-
 // serviceTimeSmoothing is the weight of one report in the moving average of a
 // target's service time.
 const serviceTimeSmoothing = 0.05
