Choose among a subset of targets, those of the own data centre first

An entry VM of a large deployment sends ten requests a second over 400 targets: it opens a connection for nearly every request, and its view of each target is tens of seconds old. Four requests of five go to another data centre.

Change. balance/subset.go: above its size, an entry VM draws a subset of a service's targets at random, those of its own data centre first and half as many others; it is filled again when the targets change, and the rest is used only if nothing in it accepts a request or all are suspect.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -4,7 +4,7 @@
 // workspaces, the allowances of cold targets and the retry budgets.
 //
 // The decisions are in this file, admission.go, choose.go, departure.go,
-// keyload.go, limits.go and target.go; the task is in task.go and task_draw.go.
+// keyload.go, limits.go, subset.go and target.go; the task is in task.go and task_draw.go.
 package balance
 
 import (
@@ -32,11 +32,12 @@
 	state           *config.State
 	targets         map[core.TargetID]*target
 	services        map[core.Service][]*target
-	entryVMs        int       // number of entry VMs that share the limits
-	index           int       // index of this VM among them
-	limitsReceived  bool      // a leader has reported entryVMs and index
-	firstUpdateAt   time.Time // time of the first update from a leader
-	term            uint64    // term of the leader that sent the newest update
+	subsets         map[core.Service][]*target // see subset; dropped when the targets change
+	entryVMs        int                        // number of entry VMs that share the limits
+	index           int                        // index of this VM among them
+	limitsReceived  bool                       // a leader has reported entryVMs and index
+	firstUpdateAt   time.Time                  // time of the first update from a leader
+	term            uint64                     // term of the leader that sent the newest update
 	buckets         map[core.Workspace]*bucket
 	budgets         map[core.Service]*retryBudget
 	processingTimes map[string]*processingTime // by route name
@@ -53,6 +54,7 @@
 	return &Pool{
 		home: home, bounds: bounds, random: random, state: config.NewState(),
 		targets: map[core.TargetID]*target{}, services: map[core.Service][]*target{},
+		subsets:  map[core.Service][]*target{},
 		entryVMs: 1, buckets: map[core.Workspace]*bucket{}, budgets: map[core.Service]*retryBudget{},
 		processingTimes: map[string]*processingTime{}, splits: map[string]*split{}, keyLoads: newKeyLoads(),
 		leaving: map[core.TargetID]departure{},
@@ -105,6 +107,9 @@
 		}
 	}
 	if n.EntryVMs > 0 {
+		if n.EntryVMs != p.entryVMs {
+			clear(p.subsets)
+		}
 		p.entryVMs, p.index, p.limitsReceived = n.EntryVMs, n.Index, true
 	}
 	for _, s := range n.Targets {
@@ -148,7 +153,8 @@
 }
 
 func (p *Pool) add(s fleet.TargetState, now time.Time) *target {
-	t := newTarget(s.Target, now)
+	t := newTarget(s.Target, p.random(), now)
+	delete(p.subsets, s.Service)
 	if now.Sub(p.firstUpdateAt) > startupPeriod {
 		t.joinedAt = now
 	}
@@ -159,6 +165,7 @@
 
 func (p *Pool) remove(t *target) {
 	delete(p.targets, t.ID)
+	delete(p.subsets, t.Service)
 	list := p.services[t.Service]
 	for i, other := range list {
 		if other == t {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -135,7 +135,7 @@
 		busyWeight    = 0.25 // for a target whose slots are all taken
 		failureWeight = 8
 		shedWeight    = 3
-		remoteWeight  = 0.1  // another data centre: traffic costs money, and its links fail more often
+		remoteWeight  = 1    // another data centre: traffic costs money, and its links fail more often
 		jitter        = 0.05 // makes entry VMs with the same view choose different targets
 	)
 	cost := float64(p.expected(t, r, now))
@@ -191,10 +191,25 @@
 			return t, nil
 		}
 	}
-	var best *target
+	best, suspect := p.cheapestOf(p.subset(r.Service), r, now)
+	if best == nil || suspect {
+		if any, _ := p.cheapestOf(p.services[r.Service], r, now); any != nil {
+			best = any
+		}
+	}
+	if best == nil {
+		e := result.New(result.NoTarget, "service %s: none of its %d known targets accepts a request", r.Service, len(p.services[r.Service]))
+		e.RetryAfter = p.withJitter(200 * time.Millisecond)
+		return nil, e
+	}
+	return best, nil
+}
+
+// cheapestOf returns the target of a list with the lowest cost that accepts a
+// request, and whether it is suspect.
+func (p *Pool) cheapestOf(targets []*target, r Request, now time.Time) (best *target, bestSuspect bool) {
 	var bestCost float64
-	bestSuspect := true
-	for _, t := range p.services[r.Service] {
+	for _, t := range targets {
 		if p.draining(t) || t.resting(now) || slices.Contains(r.Tried, t.ID) || !p.withinColdAllowance(t, now) {
 			continue
 		}
@@ -204,12 +219,7 @@
 			best, bestCost, bestSuspect = t, cost, suspect
 		}
 	}
-	if best == nil {
-		e := result.New(result.NoTarget, "service %s: none of its %d known targets accepts a request", r.Service, len(p.services[r.Service]))
-		e.RetryAfter = p.withJitter(200 * time.Millisecond)
-		return nil, e
-	}
-	return best, nil
+	return best, bestSuspect
 }
 
 // refusedKeyPause is how long a target that refused a key gets no further
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -31,6 +31,7 @@
 // target is a target as this entry VM sees it.
 type target struct {
 	core.Target
+	rank      float64      // random; orders the targets in this VM's subsets
 	confirmed bool         // the current leader has reported the target
 	granted   core.Version // highest fence of the keys granted to the target
 	coldUntil time.Time
@@ -63,8 +64,8 @@
 	pending       map[uint64]time.Time // send times of unanswered requests by ticket
 }
 
-func newTarget(t core.Target, now time.Time) *target {
-	return &target{Target: t, speed: 1, answeredAt: now, pending: map[uint64]time.Time{}, load: Load{Slowness: 1}}
+func newTarget(t core.Target, rank float64, now time.Time) *target {
+	return &target{Target: t, rank: rank, speed: 1, answeredAt: now, pending: map[uint64]time.Time{}, load: Load{Slowness: 1}}
 }
 
 func (t *target) slots() float64 { return float64(max(t.Slots, 1)) }
