Divide small rates less, and let no restart refill a burst

(1) A workspace of 8 requests a second on 285 entry VMs: shares of one or two tokens, spread over a dozen VMs, leave some VMs empty while others have tokens (4 % refused at 0.62 of the rate, 26 % at 0.87).

The divided fraction follows the tokens that the reserve holds for each VM with demand. A first share comes with one token.

--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -12,7 +12,7 @@
 type bucket struct {
 	rate, burst float64 // tokens per second, and the most that accumulate
 	tokens      float64
-	hasShare    bool // a share was assigned before; the bucket is full at the first one
+	hasShare    bool // a share was assigned before
 	refilledAt  time.Time
 	// recentDemand and usualDemand are decaying averages of the demand at demandAt
 	// in requests per second, with demandTimeConstant and usualDemandTimeConstant.
@@ -44,10 +44,15 @@
 	return b
 }
 
+// firstTokens is the number of tokens that come with a VM's first share. It is
+// small: before a restart, or at another VM that had the share, the burst may just
+// have been spent.
+const firstTokens = 1
+
 func (b *bucket) setShare(s fleet.Share, now time.Time) {
 	b.refill(now)
 	if !b.hasShare {
-		b.tokens, b.hasShare = s.Burst, true
+		b.tokens, b.hasShare = min(s.Burst, firstTokens), true
 	}
 	b.rate, b.burst = s.Rate, s.Burst
 	b.tokens = min(b.tokens, b.burst)
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -18,6 +18,7 @@
 type workspaceAllocation struct {
 	demand  float64 // sum over entry VMs, requests per second
 	granted float64 // sum over entry VMs, requests per second
+	active  int     // number of entry VMs with demand
 	// undivided holds the tokens that are not divided into shares. It is empty when
 	// a term begins, since shares from the previous leader may still be in use.
 	undivided quota.Bucket
@@ -25,6 +26,12 @@
 
 // set changes the allocation of one entry VM and updates the sums.
 func (a *workspaceAllocation) set(alloc *allocation, demand, granted float64) {
+	switch {
+	case alloc.demand == 0 && demand > 0:
+		a.active++
+	case alloc.demand > 0 && demand == 0:
+		a.active--
+	}
 	a.demand = max(a.demand+demand-alloc.demand, 0)
 	a.granted = max(a.granted+granted-alloc.granted, 0)
 	alloc.demand, alloc.granted = demand, granted
@@ -80,14 +87,12 @@
 	minEvenBurst = 1.2
 	// minDividedFraction and maxDividedFraction limit the fraction of a rate and of
 	// its burst reserve that is divided into shares. Entry VMs draw from the rest
-	// when they run out of tokens. Load pattern: an entry VM receives less than one
-	// request per second of a workspace, so that no share matches its next demand.
-	minDividedFraction = 0.75
-	maxDividedFraction = 0.9
-	// midpointRate is the rate per entry VM, in requests per second, at which the
-	// divided fraction is halfway between the two limits. The demand on one entry VM
-	// varies less, relative to its mean, if the rate is higher.
-	midpointRate = 4
+	// when they run out of tokens.
+	minDividedFraction = 0.2
+	maxDividedFraction = 0.8
+	// dividedPerToken is the divided fraction for each token that the reserve holds
+	// for each entry VM with demand.
+	dividedPerToken = 0.2
 	// overDemandDividedFraction is the divided fraction of a rate when demand exceeds
 	// the rate. All shares are then used up, and draws would find no tokens.
 	overDemandDividedFraction = 0.9
@@ -102,7 +107,7 @@
 		alloc = &allocation{}
 		e.allocations[t.Name] = alloc
 	}
-	divided := l.dividedFraction(t, s)
+	divided := l.dividedFraction(t)
 	reserve := divided * l.burstReserve(t)
 	even := l.evenFraction(reserve)
 	fair := even / float64(len(l.entryVMs))
@@ -145,10 +150,14 @@
 }
 
 // dividedFraction returns the fraction of a workspace's rate and burst reserve that
-// is divided into shares.
-func (l *LeaderState) dividedFraction(t config.Tenancy, s *config.State) float64 {
-	ratePerVM := t.Rate / float64(max(len(l.entryVMs), s.EntryVMs, 1))
-	return minDividedFraction + (maxDividedFraction-minDividedFraction)*ratePerVM/(ratePerVM+midpointRate)
+// is divided into shares. Load pattern: small workspaces on many entry VMs, whose
+// shares hold few tokens, so that some VMs run out while others have tokens left.
+func (l *LeaderState) dividedFraction(t config.Tenancy) float64 {
+	active := l.allocationOf(t.Name).active
+	if active == 0 {
+		return minDividedFraction
+	}
+	return min(max(dividedPerToken*l.burstReserve(t)/float64(active), minDividedFraction), maxDividedFraction)
 }
 
 // Draw returns tokens from the part of each workspace's rate and burst reserve that
@@ -168,7 +177,7 @@
 		return supply
 	}
 	a := l.allocationOf(t.Name)
-	undivided := 1 - l.dividedFraction(t, s)
+	undivided := 1 - l.dividedFraction(t)
 	rate := max(t.Rate-a.granted, 0)
 	if now.Sub(l.termStart) < reportCollectionTime || l.mayHoldUnreported(s, now) {
 		// The previous leader never divided more than the rest.
