Bound the growth of the key table, move less in overload, and dial other VMs for 0.4 s

Above twice the initial table only ranges with more than a target's mean load are split. An overloaded owner gives up ranges for a gain of 1.4. Connections to other VMs of the system are tried for 0.4 s.

--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -203,11 +203,16 @@
 	return best
 }
 
+// initialTableSize returns the number of ranges in the initial key table.
+func initialTableSize(targets int) int {
+	perTarget := min(max(initialRanges/targets, minInitialRanges), maxInitialRanges)
+	return min(targets*perTarget, config.KeySpace)
+}
+
 // initialTable divides all keys into ranges of equal size and assigns these to the
 // targets round-robin.
 func (p *placement) initialTable() []config.KeyRange {
-	perTarget := min(max(initialRanges/len(p.byID), minInitialRanges), maxInitialRanges)
-	count := min(len(p.byID)*perTarget, config.KeySpace)
+	count := initialTableSize(len(p.byID))
 	ranges := make([]config.KeyRange, 0, count)
 	for i := range count {
 		c := p.byID[i%len(p.byID)]
--- a/internal/fleet/rebalance.go
+++ b/internal/fleet/rebalance.go
@@ -22,13 +22,17 @@
 	// range by a fraction of a second.
 	minMoveGain = 2.2
 	// minOverloadGain is the same for an owner that has more load than it can serve.
-	minOverloadGain = 1.15
+	minOverloadGain = 1.4
 	// minMoveLoad is the load of a range, in busy slots, below which moving it to
 	// relieve its owner isn't worth the wait of its callers.
 	minMoveLoad = 0.1
 	// splitLoadFraction is the load of a range, as a fraction of the mean load of a
 	// target, above which the range is split into parts with less.
 	splitLoadFraction = 0.35
+	// maxTableGrowth is the size of the key table, relative to the initial one, above
+	// which only ranges with more than the mean load of a target are split: ranges
+	// are not joined again.
+	maxTableGrowth = 2
 	// maxSplitsPerPass limits the splits of one pass.
 	maxSplitsPerPass = 96
 	// maxPartsPerSplit limits the parts into which one pass splits a range.
@@ -114,9 +118,13 @@
 // first key of a new range. The ranges to split are not moved in this pass.
 func (p *placement) splitPoints(mean float64) []uint32 {
 	var splitKeys []uint32
+	threshold := splitLoadFraction * mean
+	if len(p.table) > maxTableGrowth*initialTableSize(len(p.byID)) {
+		threshold = mean
+	}
 	for _, c := range p.byID {
 		c.owned = slices.DeleteFunc(c.owned, func(r loadedRange) bool {
-			if r.load < splitLoadFraction*mean || r.First == r.Last {
+			if r.load < threshold || r.First == r.Last {
 				return false
 			}
 			parts := min(int(math.Ceil(r.load/(splitLoadFraction*mean))), maxPartsPerSplit, maxRangesPerTarget-c.ranges, maxSplitsPerPass-len(splitKeys))
--- a/internal/roles/roles.go
+++ b/internal/roles/roles.go
@@ -34,10 +34,17 @@
 	Seeds   func() []string // inner addresses of control VMs in the current settings
 }
 
+// innerDialTimeout limits the time to connect to another VM of the system: several
+// round trips between regions. A VM without power doesn't refuse connections, and
+// the time until the next VM is tried is time without service after a restart.
+const innerDialTimeout = 400 * time.Millisecond
+
 // newTransport returns the transport for calls to other VMs.
 func newTransport() *http.Transport {
+	dialer := witness.NewDialer()
+	dialer.Timeout = innerDialTimeout
 	return &http.Transport{
-		DialContext: witness.NewDialer().DialContext, MaxIdleConnsPerHost: maxIdlePerHost,
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout: innerIdleTimeout, DisableCompression: true,
 	}
 }
