Keep idle connections as long as targets say, and don't treat full targets as restarted

(1) Idle connections to targets were closed after 4 s, whatever the target said; the targets of all known sites state 10 s. (2) Targets of some services reset connections when they are full.

Failures that were all resets keep the backoff, without the cold time after it.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -137,6 +137,7 @@
 		}
 		t = p.add(s, now)
 	}
+	s.IdleTimeout = t.IdleTimeout
 	t.Target, t.granted, t.confirmed, t.departed = s.Target, s.Granted, true, false
 	if d, ok := p.leaving[t.ID]; ok && d.incarnation == t.Incarnation {
 		t.Draining = true
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -287,6 +287,8 @@
 	ColdFor     time.Duration // remaining time that the target reports to be cold
 	Leaving     bool          // the target said that it is about to stop
 	RestFor     time.Duration // how long the target, which refused, asked to get nothing from this VM
+	Reset       bool          // the target reset the connection: it is full, or the answer got lost
+	IdleTimeout time.Duration // how long the target said it keeps an idle connection open
 	At          time.Time
 }
 
@@ -313,6 +315,9 @@
 	if o.ColdFor > 0 {
 		t.coldUntil = o.At.Add(o.ColdFor)
 	}
+	if o.IdleTimeout > 0 {
+		t.IdleTimeout = o.IdleTimeout
+	}
 	if o.Leaving {
 		p.markLeaving(t, o.At)
 	}
@@ -334,6 +339,7 @@
 		}
 	case o.Failed:
 		t.backOff(o.At, p.entryVMs)
+		t.mayHaveStopped = t.mayHaveStopped || !o.Reset
 	}
 }
 
--- a/internal/balance/departure_test.go
+++ b/internal/balance/departure_test.go
@@ -153,3 +153,41 @@
 	is.True(err == nil)
 	is.Equal(c.Target.Address, "new:80")
 }
+
+// TestResetsDontMakeATargetCold checks that the owner of a key which reset some
+// connections, because it was full, gets all requests again once it answers, while
+// one that could not be reached may have restarted and is treated as cold.
+func TestResetsDontMakeATargetCold(t *testing.T) {
+	for _, reset := range []bool{true, false} {
+		is := is.New(t)
+		p := testPool(testState(t, config.AssignKeys{Service: owned, Ranges: []config.KeyRange{
+			{First: 0, Last: config.KeySpace - 1, Owner: "i-1", Life: 1},
+		}}))
+		owner := stateOf("i-1", owned)
+		owner.Granted = 100
+		p.applyTargets(start, owner)
+		now := start
+		ask := func(ticket uint64) (Choice, *result.Error) {
+			r := request(owned, now)
+			r.HasKey, r.Key = true, 7
+			c, _, err := p.Choose(r, ticket, now)
+			return c, err
+		}
+		for ticket := range uint64(3) {
+			c, err := ask(ticket)
+			is.True(err == nil)
+			p.Done(Outcome{Ticket: c.Ticket, Target: "i-1", Incarnation: 1, Route: testRoute(owned), Failed: true, Reset: reset, At: now})
+			now = now.Add(3 * time.Second) // past the backoff
+		}
+		c, err := ask(10)
+		is.True(err == nil)
+		p.answered(c, now, func(*Outcome) {})
+		admitted := 0
+		for ticket := range uint64(20) {
+			if _, err := ask(100 + ticket); err == nil {
+				admitted++
+			}
+		}
+		is.Equal(admitted == 20, reset)
+	}
+}
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -51,10 +51,13 @@
 	refusalRate  float64 // moving average of requests that the target refused, 0 to 1
 	avoidUntil   time.Time
 	backoff      time.Duration
-	refusedFence core.Version // fence under which the target refused keys
-	refusedAt    time.Time
-	answeredAt   time.Time
-	restUntil    time.Time // the target asked this VM to send it nothing before this time
+	// mayHaveStopped reports that a failure since the last answer was no reset: some
+	// targets reset connections when they are full.
+	mayHaveStopped bool
+	refusedFence   core.Version // fence under which the target refused keys
+	refusedAt      time.Time
+	answeredAt     time.Time
+	restUntil      time.Time // the target asked this VM to send it nothing before this time
 	// drainingSince is when this VM first knew that the target gets no new work;
 	// zero if it may get some.
 	drainingSince time.Time
@@ -113,10 +116,10 @@
 // times in a row may have restarted and be cold without having reported it
 // yet, so it is treated as cold.
 func (t *target) endBackoff(now time.Time) {
-	if t.backoff > firstBackoff {
+	if t.backoff > firstBackoff && t.mayHaveStopped {
 		t.treatAsCold(now.Add(probation))
 	}
-	t.backoff, t.avoidUntil = 0, time.Time{}
+	t.backoff, t.avoidUntil, t.mayHaveStopped = 0, time.Time{}, false
 }
 
 // treatAsCold treats the target as cold at least until the given time.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"fmt"
+	"time"
 )
 
 // VM is the name of a virtual machine that runs a daemon.
@@ -99,4 +100,7 @@
 	Slots       int  // requests it runs concurrently
 	Connections int  // connections it accepts from all daemons of the cell together
 	Draining    bool // the target has asked to be drained and gets no new requests
+	// IdleTimeout is how long the target keeps an idle connection open, as it states
+	// in its answers; zero if unknown. Only the entry VM that heard it knows it.
+	IdleTimeout time.Duration
 }
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -40,6 +40,10 @@
 	Cold   time.Duration // remaining time that the target reports to be cold
 	// Leaving reports that the target said in its answer that it is about to stop.
 	Leaving bool
+	// Reset reports that the target reset the connection instead of answering.
+	Reset bool
+	// IdleTimeout is how long the target said it keeps an idle connection open.
+	IdleTimeout time.Duration
 	// Rest is how long a target that refused asked to get nothing from this VM.
 	Rest time.Duration
 }
@@ -155,7 +159,7 @@
 	o := balance.Outcome{
 		Ticket: f.choice.Ticket, Target: f.choice.Target.ID, Incarnation: f.choice.Target.Incarnation, Route: a.Route,
 		Key: a.ShardKey, Latency: now.Sub(start), Load: sent.Load, ColdFor: sent.Cold,
-		Leaving: sent.Leaving, RestFor: sent.Rest, At: now,
+		Leaving: sent.Leaving, RestFor: sent.Rest, Reset: sent.Reset, IdleTimeout: sent.IdleTimeout, At: now,
 	}
 	if sent.Err == nil {
 		o.Answered, o.Failed = true, sent.Answer.Status >= minFailureStatus
