Poll voters in an order that spreads over data centres

An entry VM polls the voters in the order of their addresses, so that the next after one in a data centre that is cut off is mostly another there: a poll of 2 s, then dials of 1 s each.

--- a/internal/configsync/sources.go
+++ b/internal/configsync/sources.go
@@ -1,10 +1,13 @@
 package configsync
 
 import (
+	"cmp"
 	"hash/fnv"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/comfreynotch/comfreynotch/internal/config"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 )
@@ -42,7 +45,7 @@
 	if coordinator != self {
 		add(coordinator)
 	}
-	for _, address := range rotate(voters, self) {
+	for _, address := range shuffle(voters, self) {
 		sources = append(sources, Source{Address: address})
 	}
 	for _, vm := range rotate(s.Cells[cell].Members, self) {
@@ -53,6 +56,16 @@
 	return sources
 }
 
+// shuffle returns the addresses in an order that depends on the daemon. Addresses of
+// one data centre are neighbours in most lists; if it is cut off, the next source
+// after one that fails must not be another of its voters.
+func shuffle(addresses []string, self core.VM) []string {
+	position := func(address string) uint64 { return xxhash.Sum64String(string(self) + "\x00" + address) }
+	shuffled := slices.Clone(addresses)
+	slices.SortFunc(shuffled, func(x, y string) int { return cmp.Compare(position(x), position(y)) })
+	return shuffled
+}
+
 // rotate returns list rotated by an offset that depends on the daemon.
 func rotate[T any](list []T, self core.VM) []T {
 	if len(list) == 0 {
--- a/internal/configsync/task_poll.go
+++ b/internal/configsync/task_poll.go
@@ -13,7 +13,7 @@
 
 const (
 	longPollHold       = time.Second // how long a source may hold a request
-	pollTimeout        = 2 * time.Second
+	pollTimeout        = 1600 * time.Millisecond
 	initialTimeout     = 3 * time.Second // before the first confirmed state: the answer is a snapshot, perhaps over a slow link
 	failurePause       = 200 * time.Millisecond
 	unconfirmedPause   = 20 * time.Millisecond // between polls while no state is confirmed
