Count rates on all control VMs instead of drawing them from the leader

The callers of a workspace use all 285 entry VMs, a request in ten seconds each: no share holds a token, each request draws, and 3,000 draws a second are too much for one VM of 0.48 cores.

Draws of different workspaces don't wait for each other. Demand of undivided workspaces isn't reported any more.

--- a/internal/balance/admission.go
+++ b/internal/balance/admission.go
@@ -9,8 +9,8 @@
 )
 
 // Admit charges a request to the rate of its workspace and counts it for the
-// retry budget of its service. If draw is true, this VM has no token left but
-// the leader may supply one: the caller asks the leader and passes the answer
+// retry budget of its service. If draw is true, this VM has no token left but the
+// workspace's counter may supply one: the caller asks it and passes the answer
 // to ApplySupply or DrawFailed. Every error states that the request has not run.
 func (p *Pool) Admit(r Request, now time.Time) (draw bool, err *result.Error) {
 	p.budgetOf(r.Service, now).requests++
@@ -28,7 +28,7 @@
 	return false, p.rateExceeded(r.Workspace, now)
 }
 
-// ApplySupply applies the leader's answer to a draw and returns how many of the
+// ApplySupply applies a counter's answer to a draw and returns how many of the
 // waiting requests are admitted.
 func (p *Pool) ApplySupply(s quota.Supply, waiting int, now time.Time) int {
 	if s.Tokens < waiting {
@@ -37,16 +37,14 @@
 	return min(s.Tokens, waiting)
 }
 
-// DrawFailed records that the leader did not answer a draw for a workspace. The
-// leader is unreachable or being replaced, so requests do not wait for it for a
-// while.
+// DrawFailed records that neither the counter of a workspace nor its backup
+// answered a draw, so requests do not wait for them for a while.
 func (p *Pool) DrawFailed(w core.Workspace, now time.Time) {
 	p.bucketOf(w).noDrawBefore = now.Add(failedDrawPause)
 }
 
-// failedDrawPause is the time without draws after one that failed, about the
-// duration of a leader election.
-const failedDrawPause = time.Second
+// failedDrawPause is the time without draws after one that failed.
+const failedDrawPause = 300 * time.Millisecond
 
 func (p *Pool) rateExceeded(w core.Workspace, now time.Time) *result.Error {
 	b := p.bucketOf(w)
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -21,6 +21,7 @@
 	BudgetRatio  float64 // retries per request in any BudgetWindow
 	BudgetExtra  float64 // retries allowed in addition, in any BudgetWindow
 	BudgetWindow time.Duration
+	Quota        fleet.Quota // of the workspaces' rates
 }
 
 // Pool is an entry VM's view of all targets and limits. It is not safe for
@@ -90,7 +91,8 @@
 	for name, tenancy := range p.state.Catalog.Tenants {
 		b := p.bucketOf(name)
 		if b.rate == 0 && !tenancy.Dropped && tenancy.Rate > 0 {
-			b.setShare(fleet.Share{Workspace: name, Rate: fraction * tenancy.Rate, Burst: max(fraction*tenancy.Burst, 1)}, now)
+			part := fraction * fleet.DividedFraction(tenancy, p.bounds.Quota, p.state)
+			b.setShare(fleet.Share{Workspace: name, Rate: part * tenancy.Rate, Burst: part * max(tenancy.Burst, float64(p.state.EntryVMs))}, now)
 		}
 	}
 }
@@ -192,6 +194,9 @@
 		}
 	}
 	for name, b := range p.buckets {
+		if b.rate == 0 && fleet.DividedFraction(p.state.Catalog.Tenants[name], p.bounds.Quota, p.state) == 0 {
+			continue // the leader divides nothing of it
+		}
 		if demand := b.demand(now); demand >= minReportedDemand || b.rate > 0 {
 			report.Demand = append(report.Demand, fleet.Demand{Workspace: name, Rate: demand, GrantedRate: b.rate})
 		}
--- a/internal/balance/task.go
+++ b/internal/balance/task.go
@@ -20,9 +20,12 @@
 	reviewPeriod     = 25 * time.Millisecond // interval at which requests that wait for a key's owner are checked
 	maxAwaitingOwner = 512                   // most requests that wait for a key's owner at a time
 	reportPeriod     = 200 * time.Millisecond
-	// drawTimeout bounds the wait for tokens from the leader: a few round trips
+	// drawTimeout bounds the wait for tokens from one counter: a few round trips
 	// between data centres, and a small part of the time that callers wait.
-	drawTimeout = 150 * time.Millisecond
+	drawTimeout = 120 * time.Millisecond
+	// counterPause is how long a counter that didn't answer is left out, about as long
+	// as it takes to replace a control VM that is lost.
+	counterPause = time.Second
 )
 
 // Options are the settings and dependencies of a Task.
@@ -31,8 +34,11 @@
 	Home   core.DataCentre
 	Bounds Bounds
 	Seed   uint64 // of the random numbers that break ties between targets
-	// Draw requests tokens for workspaces from the leader.
-	Draw func(ctx context.Context, wants []quota.Want) ([]quota.Supply, error)
+	// CounterOf returns the addresses of the control VM that counts a workspace's
+	// requests and of its backup; empty if unknown.
+	CounterOf func(w core.Workspace) (counter, backup string)
+	// Draw requests tokens of workspaces from their counter or its backup.
+	Draw func(ctx context.Context, address string, wants []quota.Want, backup bool) ([]quota.Supply, error)
 }
 
 // Task owns the Pool of an entry VM and serves requests to it by messages.
@@ -64,9 +70,11 @@
 	configChanged struct{}
 	cancelled     struct{ reply task.Reply[chosen] }
 	drawResult    struct {
-		wants    []quota.Want
-		supplies []quota.Supply
-		err      error
+		wants         []quota.Want
+		supplies      []quota.Supply
+		counter       string
+		counterFailed bool
+		err           error
 	}
 )
 
@@ -128,19 +136,19 @@
 // one.
 type run struct {
 	*Task
-	pool          *Pool
-	state         *config.State // configuration that the pool uses
-	ticket        uint64        // newest ticket
-	awaitingOwner []choose      // requests that wait for a key's owner
-	// awaitingTokens are the requests that wait for tokens from the leader.
-	awaitingTokens []choose
-	drawInFlight   bool // a draw from the leader is in flight
+	pool           *Pool
+	state          *config.State           // configuration that the pool uses
+	ticket         uint64                  // newest ticket
+	awaitingOwner  []choose                // requests that wait for a key's owner
+	awaitingTokens []choose                // requests that wait for tokens from a counter
+	drawing        map[core.Workspace]bool // workspaces for which a draw is in flight
+	counterPauses  map[string]time.Time    // counters that failed, and until when they are left out
 }
 
 // Serve runs the task until ctx ends.
 func (t *Task) Serve(ctx context.Context) error {
 	o := t.options
-	r := &run{Task: t, pool: NewPool(o.Home, o.Bounds, rand.New(rand.NewPCG(o.Seed, 0)).Float64)}
+	r := &run{Task: t, drawing: map[core.Workspace]bool{}, counterPauses: map[string]time.Time{}, pool: NewPool(o.Home, o.Bounds, rand.New(rand.NewPCG(o.Seed, 0)).Float64)}
 	review := time.NewTicker(reviewPeriod)
 	defer review.Stop()
 	ticks := 0
--- a/internal/balance/task_draw.go
+++ b/internal/balance/task_draw.go
@@ -6,36 +6,62 @@
 	"github.com/comfreynotch/comfreynotch/internal/clock"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
+	"github.com/comfreynotch/comfreynotch/internal/result"
 )
 
-// draw requests tokens from the leader if requests wait for some and no draw is
-// in flight. It does so in a goroutine, which posts the answer to the mailbox.
+// draw requests tokens for the workspaces whose requests wait for some, unless a
+// draw for the workspace is in flight. Each counter is asked in a goroutine, which
+// posts the answer to the mailbox.
 func (r *run) draw(ctx context.Context) {
-	if r.drawInFlight || len(r.awaitingTokens) == 0 {
+	if len(r.awaitingTokens) == 0 {
 		return
 	}
-	r.drawInFlight = true
-	wants := wantsOf(r.awaitingTokens)
-	go func() {
-		drawContext, cancel := context.WithTimeout(ctx, drawTimeout)
-		defer cancel()
-		supplies, err := r.options.Draw(drawContext, wants)
-		_ = r.mailbox.Send(ctx, drawResult{wants, supplies, err}) // fails only when the task ends
-	}()
+	now := clock.Now()
+	for source, wants := range r.wants() {
+		for _, w := range wants {
+			r.drawing[w.Workspace] = true
+		}
+		paused := r.counterPauses[source.counter].After(now)
+		go func() {
+			d := drawResult{wants: wants, counter: source.counter}
+			if !paused {
+				d.supplies, d.err = r.drawFrom(ctx, source.counter, wants, false)
+				d.counterFailed = d.err != nil
+			}
+			if (paused || d.counterFailed) && source.backup != "" {
+				d.supplies, d.err = r.drawFrom(ctx, source.backup, wants, true)
+			}
+			_ = r.mailbox.Send(ctx, d) // fails only when the task ends
+		}()
+	}
 }
 
-// wantsOf counts the waiting requests of each workspace.
-func wantsOf(requests []choose) []quota.Want {
-	var wants []quota.Want
-	indexes := map[core.Workspace]int{}
-	for _, m := range requests {
-		i, ok := indexes[m.Workspace]
-		if !ok {
-			i = len(wants)
-			indexes[m.Workspace] = i
-			wants = append(wants, quota.Want{Workspace: m.Workspace})
+func (r *run) drawFrom(ctx context.Context, address string, wants []quota.Want, backup bool) ([]quota.Supply, error) {
+	if address == "" {
+		return nil, result.New(result.NoLeader, "no control VM is known that counts the workspaces")
+	}
+	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
+	defer cancel()
+	return r.options.Draw(ctx, address, wants, backup)
+}
+
+// tokenSource is the counter of some workspaces and its backup.
+type tokenSource struct{ counter, backup string }
+
+// wants counts the waiting requests of each workspace without a draw in flight, by
+// the source of their tokens.
+func (r *run) wants() map[tokenSource][]quota.Want {
+	counts := map[core.Workspace]int{}
+	for _, m := range r.awaitingTokens {
+		if !r.drawing[m.Workspace] {
+			counts[m.Workspace]++
 		}
-		wants[i].Tokens++
+	}
+	wants := map[tokenSource][]quota.Want{}
+	for w, n := range counts {
+		var source tokenSource
+		source.counter, source.backup = r.options.CounterOf(w)
+		wants[source] = append(wants[source], quota.Want{Workspace: w, Tokens: n})
 	}
 	return wants
 }
@@ -44,12 +70,15 @@
 // tokens last, and refuses the others. Requests that arrived after the draw began
 // wait for the next one.
 func (r *run) finishDraw(d drawResult) {
-	r.drawInFlight = false
 	now := clock.Now()
+	if d.counterFailed {
+		r.counterPauses[d.counter] = now.Add(counterPause)
+	}
 	// Requests of each workspace that the draw covered, and those it admits.
 	covered, admitted := map[core.Workspace]int{}, map[core.Workspace]int{}
 	for _, w := range d.wants {
 		covered[w.Workspace] = w.Tokens
+		delete(r.drawing, w.Workspace)
 		if d.err != nil {
 			r.pool.DrawFailed(w.Workspace, now)
 		}
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -101,7 +101,7 @@
 		return nil, 0, 0
 	}
 	for _, t := range s.Catalog.Tenants {
-		if t.Dropped || t.Rate <= 0 {
+		if t.Dropped || t.Rate <= 0 || DividedFraction(t, l.parameters.Quota, s) == 0 && e.grantedRate(t.Name) == 0 {
 			continue
 		}
 		before := e.grantedRate(t.Name)
--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -61,8 +61,8 @@
 	Record      func(event string, fields ...any)   // writes one line to the log; must not block
 }
 
-// Task owns the LeaderState on a control VM. It serves requests only while the VM
-// leads.
+// Task owns the LeaderState and the Counter on a control VM. It serves draws always,
+// other requests only while the VM leads.
 type Task struct {
 	options Options
 	mailbox task.Mailbox[message]
@@ -93,8 +93,9 @@
 		reply task.Reply[Update]
 	}
 	draw struct {
-		wants []quota.Want
-		reply task.Reply[drawAnswer]
+		wants  []quota.Want
+		backup bool
+		reply  task.Reply[drawAnswer]
 	}
 	drawAnswer struct {
 		supplies []quota.Supply
@@ -131,10 +132,11 @@
 	return task.Ask(ctx, t.mailbox, func(r task.Reply[Update]) message { return poll{q, r} })
 }
 
-// Draw returns tokens of workspaces to an entry VM. The error is NotLeading if
-// another VM leads.
-func (t *Task) Draw(ctx context.Context, wants []quota.Want) ([]quota.Supply, error) {
-	a, err := task.Ask(ctx, t.mailbox, func(r task.Reply[drawAnswer]) message { return draw{wants, r} })
+// Draw returns tokens of workspaces that this VM counts, or for which it is the
+// backup. The error is NotLeading if this VM knows no leader: it may have been cut
+// off and replaced.
+func (t *Task) Draw(ctx context.Context, wants []quota.Want, backup bool) ([]quota.Supply, error) {
+	a, err := task.Ask(ctx, t.mailbox, func(r task.Reply[drawAnswer]) message { return draw{wants, backup, r} })
 	if err != nil {
 		return nil, err
 	}
@@ -145,6 +147,7 @@
 type run struct {
 	*Task
 	state         *LeaderState
+	counter       *Counter
 	waiters       []waiter
 	pushTimer     *time.Timer
 	pushScheduled bool
@@ -166,7 +169,7 @@
 
 // Serve runs the task until ctx ends.
 func (t *Task) Serve(ctx context.Context) error {
-	r := &run{Task: t, state: NewLeaderState(t.options.Parameters), pushTimer: time.NewTimer(time.Hour)}
+	r := &run{Task: t, state: NewLeaderState(t.options.Parameters), counter: NewCounter(t.options.Parameters.Quota), pushTimer: time.NewTimer(time.Hour)}
 	defer r.pushTimer.Stop()
 	ticker := time.NewTicker(planPeriod)
 	defer ticker.Stop()
@@ -256,7 +259,7 @@
 	case poll:
 		r.handlePoll(m)
 	case draw:
-		m.reply.Answer(r.handleDraw(m.wants))
+		m.reply.Answer(r.handleDraw(m))
 	case proposalOutcome:
 		r.handleOutcome(m)
 	}
@@ -277,11 +280,11 @@
 	}
 }
 
-func (r *run) handleDraw(wants []quota.Want) drawAnswer {
-	if !r.holdsLease() {
-		return drawAnswer{err: NotLeading{r.options.Lease().Leader}}
+func (r *run) handleDraw(m draw) drawAnswer {
+	if r.options.Lease().Leader == "" {
+		return drawAnswer{err: NotLeading{}}
 	}
-	return drawAnswer{supplies: r.state.Draw(wants, r.options.State(), clock.Now())}
+	return drawAnswer{supplies: r.counter.Supply(m.wants, m.backup, r.options.State(), clock.Now())}
 }
 
 func (r *run) handlePoll(q poll) {
--- a/internal/fleet/task_follow.go
+++ b/internal/fleet/task_follow.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/task"
@@ -18,7 +21,7 @@
 // Client sends requests to the control VM at an inner address.
 type Client interface {
 	Poll(ctx context.Context, address string, q PollRequest) (Update, error)
-	Draw(ctx context.Context, address string, wants []quota.Want) ([]quota.Supply, error)
+	Draw(ctx context.Context, address string, wants []quota.Want, backup bool) ([]quota.Supply, error)
 }
 
 // FollowerOptions configures a Follower.
@@ -35,23 +38,43 @@
 // polling the leader.
 type Follower struct {
 	FollowerOptions
-	leaderAddress task.Snapshot[string] // inner address of the leader; empty: unknown
+	counters task.Snapshot[[]string] // inner addresses of the control VMs, sorted
 }
 
 // NewFollower returns a task that is not running yet.
 func NewFollower(o FollowerOptions) *Follower {
-	return &Follower{o, task.NewSnapshot(new(string))}
+	return &Follower{o, task.NewSnapshot(new([]string))}
 }
 
-// Draw requests tokens of workspaces from the leader.
-func (f *Follower) Draw(ctx context.Context, wants []quota.Want) ([]quota.Supply, error) {
-	address := *f.leaderAddress.Load()
-	if address == "" {
-		return nil, NotLeading{}
+// CounterOf returns the inner address of the control VM that counts a workspace, and
+// of its backup, which is empty if there is only one control VM. Both are empty until
+// a leader has answered. All entry VMs choose alike (rendezvous hashing).
+func (f *Follower) CounterOf(w core.Workspace) (counter, backup string) {
+	return counterOf(w, *f.counters.Load())
+}
+
+func counterOf(w core.Workspace, addresses []string) (counter, backup string) {
+	best, highest := -1, uint64(0)
+	for i, address := range addresses {
+		if h := xxhash.Sum64String(address + "\x00" + string(w)); best < 0 || h > highest {
+			best, highest = i, h
+		}
+	}
+	if best < 0 {
+		return "", ""
 	}
-	supplies, err := f.Client.Draw(ctx, address, wants)
+	if len(addresses) > 1 {
+		backup = addresses[(best+1)%len(addresses)]
+	}
+	return addresses[best], backup
+}
+
+// Draw requests tokens of workspaces from their counter at an inner address, or from
+// their backup. It isn't retried: the tokens of a lost answer count as spent.
+func (f *Follower) Draw(ctx context.Context, address string, wants []quota.Want, backup bool) ([]quota.Supply, error) {
+	supplies, err := f.Client.Draw(ctx, address, wants, backup)
 	if err != nil {
-		f.Record("could not draw tokens from the leader", "address", address, "workspaces", len(wants), "why", err.Error())
+		f.Record("could not draw tokens", "address", address, "backup", backup, "workspaces", len(wants), "why", err.Error())
 	}
 	return supplies, err
 }
@@ -121,25 +144,38 @@
 	}
 	if f.lost || f.term != update.Term {
 		f.lost = false
-		f.leaderAddress.Publish(&address)
 		f.Record("leader answers", "address", address, "term", update.Term)
 	}
 	f.leader = address
 	f.term, f.sequence = update.Term, update.Sequence
-	f.controlAddresses = f.controlAddresses[:0]
-	for _, vm := range update.ControlVMs {
-		f.controlAddresses = append(f.controlAddresses, AddressOf(vm))
-	}
+	f.useControlVMs(update.ControlVMs)
 	f.Deliver(ctx, update)
 	return true
 }
 
+// useControlVMs keeps the addresses of the control VMs in an update. An update of a
+// leader that doesn't know them yet has none.
+func (f *followRun) useControlVMs(vms []core.VM) {
+	if len(vms) == 0 {
+		return
+	}
+	var addresses []string
+	for _, vm := range vms {
+		addresses = append(addresses, AddressOf(vm))
+	}
+	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
+	if !slices.Equal(addresses, f.controlAddresses) {
+		f.controlAddresses = addresses
+		f.counters.Publish(&addresses)
+	}
+}
+
 // markLost records that the leader can't be reached, so that the next poll tries
 // another control VM.
 func (f *followRun) markLost(address, reason string) {
 	if !f.lost {
 		f.lost = true
-		f.leaderAddress.Publish(new(string))
 		f.Record("leader lost", "address", address, "why", reason)
 	}
 	f.leader = ""
--- a/internal/innerproto/fleet.go
+++ b/internal/innerproto/fleet.go
@@ -17,7 +17,7 @@
 // FleetService is the task on a control VM that answers the reports of entry VMs.
 type FleetService interface {
 	Poll(ctx context.Context, q fleet.PollRequest) (fleet.Update, error)
-	Draw(ctx context.Context, wants []quota.Want) ([]quota.Supply, error)
+	Draw(ctx context.Context, wants []quota.Want, backup bool) ([]quota.Supply, error)
 }
 
 type fleetServer struct{ service FleetService }
@@ -53,7 +53,7 @@
 
 // Draw implements innerpb.Fleet.
 func (s fleetServer) Draw(ctx context.Context, r *innerpb.FleetDraw) (*innerpb.FleetSupply, error) {
-	supplies, err := s.service.Draw(ctx, wantsFromWire(r.GetWants()))
+	supplies, err := s.service.Draw(ctx, wantsFromWire(r.GetWants()), r.GetBackup())
 	if err != nil {
 		return nil, resultToTwirp(err)
 	}
@@ -115,8 +115,8 @@
 }
 
 // Draw requests tokens from the control VM at an inner address.
-func (c *FleetClient) Draw(ctx context.Context, address string, wants []quota.Want) ([]quota.Supply, error) {
-	w, err := innerpb.NewFleetProtobufClient("http://"+address, c.client).Draw(ctx, &innerpb.FleetDraw{Wants: wantsToWire(wants)})
+func (c *FleetClient) Draw(ctx context.Context, address string, wants []quota.Want, backup bool) ([]quota.Supply, error) {
+	w, err := innerpb.NewFleetProtobufClient("http://"+address, c.client).Draw(ctx, &innerpb.FleetDraw{Wants: wantsToWire(wants), Backup: backup})
 	if err != nil {
 		return nil, resultFromTwirp(err)
 	}
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -51,7 +51,10 @@
 	e := &Entry{options: o, controlAddresses: task.NewSnapshot(&[]string{})}
 	e.balance = balance.NewTask(balance.Options{
 		Self: self, Home: o.Home, Bounds: o.Bounds, Seed: seed.Sum64(),
-		Draw: func(ctx context.Context, wants []quota.Want) ([]quota.Supply, error) { return e.fleet.Draw(ctx, wants) },
+		CounterOf: func(w core.Workspace) (string, string) { return e.fleet.CounterOf(w) },
+		Draw: func(ctx context.Context, address string, wants []quota.Want, backup bool) ([]quota.Supply, error) {
+			return e.fleet.Draw(ctx, address, wants, backup)
+		},
 	})
 	e.fleet = fleet.NewFollower(fleet.FollowerOptions{
 		Self: self, Seeds: o.Inner.Seeds, Client: innerproto.NewFleetClient(newTransport()),
