Divide unused rates evenly, and use only control VMs that the leader hears

The part of a rate that no demand uses is divided evenly. The leader names only control VMs that it has heard from within 1.2 s. A counter that was not asked for a quota window starts anew: another may have counted meanwhile.

--- a/internal/fleet/counter.go
+++ b/internal/fleet/counter.go
@@ -20,11 +20,22 @@
 	// backupFraction is the part of the undivided rate that is counted by the backup
 	// of a workspace's counter.
 	backupFraction = 0.15
-	// counterHeadStart is the time for which a new counter's bucket has filled. It is
-	// short, since another VM may have counted the workspace until now.
+	// counterHeadStart is the time for which a new counter's bucket has filled, so that
+	// the first requests find tokens, and headStartTokens the number that it holds at
+	// least.
 	counterHeadStart = 500 * time.Millisecond
+	headStartTokens  = 2
 )
 
+// headStart returns the time for which a new bucket with a rate has filled.
+func headStart(rate float64) time.Duration {
+	seconds := min(headStartTokens/rate, maxHeadStart.Seconds())
+	return max(time.Duration(seconds*float64(time.Second)), counterHeadStart)
+}
+
+// maxHeadStart bounds the head start of tiny rates.
+const maxHeadStart = time.Minute
+
 // DividedFraction returns the fraction of a workspace's rate and burst reserve that
 // the leader divides into shares. Counters supply the rest on demand. It depends only
 // on the configuration, so that the leader and all counters agree on it. Load
@@ -59,7 +70,7 @@
 // supplied.
 type Counter struct {
 	quota   Quota
-	buckets map[countedPart]*quota.Bucket
+	buckets map[countedPart]*countedBucket
 }
 
 // countedPart is a part of a workspace's rate.
@@ -68,9 +79,15 @@
 	backup    bool
 }
 
+// countedBucket holds the tokens of one part.
+type countedBucket struct {
+	quota.Bucket
+	drawnAt time.Time
+}
+
 // NewCounter returns a counter that has supplied nothing yet.
 func NewCounter(q Quota) *Counter {
-	return &Counter{quota: q, buckets: map[countedPart]*quota.Bucket{}}
+	return &Counter{quota: q, buckets: map[countedPart]*countedBucket{}}
 }
 
 // Supply returns tokens for wants. If backup is true they are taken from the part of
@@ -97,11 +114,12 @@
 	}
 	rate, burst := part*t.Rate, part*c.quota.burstReserve(t)
 	b := c.buckets[countedPart{w.Workspace, backup}]
-	if b == nil {
-		fresh := quota.NewBucket(rate, burst, now.Add(-counterHeadStart))
-		b = &fresh
+	if b == nil || now.Sub(b.drawnAt) >= c.quota.Window {
+		// Another VM may have counted the workspace until now.
+		b = &countedBucket{Bucket: quota.NewBucket(rate, burst, now.Add(-headStart(rate)))}
 		c.buckets[countedPart{w.Workspace, backup}] = b
 	}
+	b.drawnAt = now
 	b.SetRate(rate, burst, now)
 	supply.Tokens = b.Take(w.Tokens, now)
 	if wait, never := b.NextToken(); !never {
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -87,7 +87,7 @@
 	}
 	divided := DividedFraction(t, l.parameters.Quota, s)
 	reserve := divided * l.parameters.Quota.burstReserve(t)
-	even := l.evenFraction(reserve)
+	even := max(l.evenFraction(reserve), 1-a.demand/t.Rate) // what nobody uses, anybody may
 	fair := even / float64(len(l.entryVMs))
 	if a.demand > 0 {
 		fair += (1 - even) * alloc.demand / a.demand
--- a/internal/roles/control.go
+++ b/internal/roles/control.go
@@ -183,11 +183,7 @@
 	if err != nil {
 		return nil // the fleet task asks again in its next planning pass
 	}
-	var members []core.VM
-	for _, m := range s.Members {
-		members = append(members, m.VM)
-	}
-	return members
+	return reachableMembers(s)
 }
 
 // maintainMembership makes this replica a voter. On the leader it also removes
--- a/internal/roles/members.go
+++ b/internal/roles/members.go
@@ -38,3 +38,21 @@
 	}
 	return remove, "unreachable while enough other voters are reachable", remove != "" && reachable >= wanted
 }
+
+// silentTicks is how long, in ticks of 100 ms, a replica must have been silent to be
+// left out of the control VMs that entry VMs use. It is longer than several
+// heartbeats of the registry.
+const silentTicks = 12
+
+// reachableMembers returns the members of the registry that the leader has heard from
+// recently. Entry VMs fetch the configuration from them, and each counts a part of
+// the workspaces, so that the loss of a VM is noticed within a second or two.
+func reachableMembers(s raft.Status) []core.VM {
+	var members []core.VM
+	for _, m := range s.Members {
+		if m.VM == s.Self || s.TicksSinceContact[m.VM] < silentTicks {
+			members = append(members, m.VM)
+		}
+	}
+	return members
+}
--- a/internal/roles/members_test.go
+++ b/internal/roles/members_test.go
@@ -69,3 +69,14 @@
 	is.NoErr(err)
 	is.True(wiped != first)
 }
+
+// TestSilentMembersAreLeftOut checks that entry VMs aren't told to use control VMs that
+// the leader hasn't heard from, and always to use the leader.
+func TestSilentMembersAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	got := reachableMembers(raft.Status{
+		Self: "a", Members: voters("a", "b", "c"),
+		TicksSinceContact: map[core.VM]int{"a": silentTicks, "b": silentTicks - 1, "c": silentTicks},
+	})
+	is.Equal(got, []core.VM{"a", "b"})
+}
