Charge retries when they are sent, and spare owners that have released their keys

A request that waited for the next owner was charged for a retry whether or not it was sent.

The budget is checked before and charged at the send; a refusal for want of it carries a time to return. Only owners that did not announce their stop to the leader serve on, and none that has refused a key of the same grant. A range moves only if its owner is busier by 0.25 of its slots than the next, unless the range itself is busy.

TestDrainingOwnerThatReleasedItsKeysGetsNothing.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -140,7 +140,7 @@
 		t = p.add(s, now)
 	}
 	s.IdleTimeout = t.IdleTimeout
-	t.Target, t.granted, t.confirmed, t.departed = s.Target, s.Granted, true, false
+	t.Target, t.granted, t.confirmed, t.departed, t.announced = s.Target, s.Granted, true, false, s.Draining
 	if d, ok := p.leaving[t.ID]; ok && d.incarnation == t.Incarnation {
 		t.Draining = true
 	}
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -332,7 +332,8 @@
 	for i := range 500 { // 50 a second for one window, each of which asks for a retry
 		now := start.Add(time.Duration(i) * 20 * time.Millisecond)
 		is.True(p.admitWithoutDraw(request(open, now), now) == nil)
-		if p.ChargeRetry(open, now) {
+		if p.retryAllowed(open, now) {
+			p.chargeRetry(open, now)
 			retries++
 		}
 	}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -59,14 +59,15 @@
 	return time.Duration(float64(wait) * (1 + p.random()))
 }
 
-// ChargeRetry charges a retry to the budget of a service. It returns false if the
-// budget is spent.
-func (p *Pool) ChargeRetry(s core.Service, now time.Time) bool {
-	if !p.retryAllowed(s, now) {
-		return false
-	}
-	p.budgetOf(s, now).retries++
-	return true
+// chargeRetry charges a retry to the budget of a service.
+func (p *Pool) chargeRetry(s core.Service, now time.Time) { p.budgetOf(s, now).retries++ }
+
+// retryBudgetSpent returns the error for a request whose retry the budget doesn't
+// allow.
+func (p *Pool) retryBudgetSpent(s core.Service) *result.Error {
+	e := result.New(result.RetryBudgetSpent, "the retry budget of service %s is used up", s)
+	e.RetryAfter = p.withJitter(200 * time.Millisecond)
+	return e
 }
 
 // Choose returns the target for r and counts the request as in flight there.
@@ -248,7 +249,7 @@
 		return nil, true, p.ownerUnavailable(r, "owner %s of key %d has not received the grant with fence %d yet", held.Owner, r.Key, held.Fence)
 	case t.refusedFence == held.Fence && now.Sub(t.refusedAt) < refusedKeyPause:
 		return nil, true, p.ownerUnavailable(r, "owner %s refused key %d", held.Owner, r.Key)
-	case p.draining(t) && now.Sub(t.drainingSince) >= drainingOwnerGrace:
+	case p.draining(t) && !t.servesDraining(held.Fence, now):
 		return nil, true, p.ownerUnavailable(r, "owner %s of key %d is draining", held.Owner, r.Key)
 	case t.resting(now):
 		err := p.ownerUnavailable(r, "owner %s of key %d is full and wants no requests from this entry VM for a while", held.Owner, r.Key)
--- a/internal/balance/departure.go
+++ b/internal/balance/departure.go
@@ -48,6 +48,13 @@
 	return t.Draining || p.state.Evacuated[t.DataCentre] || p.state.IsRetired(t.ID, t.Incarnation)
 }
 
+// servesDraining reports whether t, which is draining, may still serve a key that it
+// got with a fence. One that announced its stop to the leader has released its keys
+// with the leader's answer, and one that refused a key of the fence has, too.
+func (t *target) servesDraining(fence core.Version, now time.Time) bool {
+	return !t.announced && t.refusedFence != fence && now.Sub(t.drainingSince) < drainingOwnerGrace
+}
+
 // noteDraining records when t began to drain, as far as this VM knows.
 func (p *Pool) noteDraining(t *target, now time.Time) {
 	switch {
--- a/internal/balance/departure_test.go
+++ b/internal/balance/departure_test.go
@@ -109,7 +109,9 @@
 			c, err := ask(1, start)
 			is.True(err == nil)
 			depart(p, c, start)
-			_, err = ask(2, start.Add(drainingOwnerGrace-time.Millisecond))
+			c, err = ask(2, start.Add(drainingOwnerGrace/2))
+			is.True(err == nil)
+			_, err = ask(5, start.Add(drainingOwnerGrace-time.Millisecond))
 			is.True(err == nil)
 			_, err = ask(3, start.Add(drainingOwnerGrace))
 			is.Equal(result.CodeOf(errorOf(err)), result.ShardUnassigned)
@@ -120,6 +122,35 @@
 	}
 }
 
+// TestDrainingOwnerThatReleasedItsKeysGetsNothing checks that an owner which announced
+// its stop to the leader, and so released its keys, gets no request for them, and
+// neither does one that leaves and has refused a key.
+func TestDrainingOwnerThatReleasedItsKeysGetsNothing(t *testing.T) {
+	is := is.New(t)
+	state := testState(t, config.AssignKeys{Service: owned, Ranges: []config.KeyRange{{First: 0, Last: config.KeySpace - 1, Owner: "i-1", Life: 1}}})
+	owner := stateOf("i-1", owned)
+	owner.Granted = 100
+	r := request(owned, start)
+	r.HasKey, r.Key = true, 7
+
+	p := testPool(state)
+	announced := owner
+	announced.Draining = true
+	p.applyTargets(start, announced)
+	_, wait, err := p.Choose(r, 1, start)
+	is.Equal(result.CodeOf(errorOf(err)), result.ShardUnassigned)
+	is.True(wait)
+
+	p = testPool(state)
+	p.applyTargets(start, owner)
+	c, _, err := p.Choose(r, 1, start)
+	is.True(err == nil)
+	p.answered(c, start, func(o *Outcome) { o.Leaving, o.NotOwner, o.Key = true, true, 7 })
+	later := start.Add(2 * refusedKeyPause)
+	_, _, err = p.Choose(r, 2, later)
+	is.Equal(result.CodeOf(errorOf(err)), result.ShardUnassigned)
+}
+
 // TestFullTargetRestsAsLongAsItAsks checks that an entry VM sends nothing to a
 // target for the time that the target named when it refused a request.
 func TestFullTargetRestsAsLongAsItAsks(t *testing.T) {
--- a/internal/balance/target.go
+++ b/internal/balance/target.go
@@ -61,6 +61,7 @@
 	// drainingSince is when this VM first knew that the target gets no new work;
 	// zero if it may get some.
 	drainingSince time.Time
+	announced     bool                 // the target itself told the leader that it is draining
 	departed      bool                 // the leader listed the target as gone after a planned stop
 	joinedAt      time.Time            // zero for targets that were there when this VM started
 	tried         bool                 // this VM has sent it a request
--- a/internal/balance/task.go
+++ b/internal/balance/task.go
@@ -201,9 +201,6 @@
 			r.awaitingTokens = append(r.awaitingTokens, m)
 			return
 		}
-	} else if len(m.Tried) > 0 && !r.pool.ChargeRetry(m.Service, now) {
-		m.reply.Answer(chosen{service: m.Service, err: result.New(result.RetryBudgetSpent, "the retry budget of service %s is used up", m.Service)})
-		return
 	}
 	r.answerOrQueue(m, now)
 }
@@ -218,9 +215,19 @@
 
 // tryAnswer answers m and returns true, or returns false if m has to wait for its
 // key's owner.
+//
+// A retry is charged to the budget when it is sent, not while it waits.
 func (r *run) tryAnswer(m choose, now time.Time) bool {
+	retry := len(m.Tried) > 0
+	if retry && !r.pool.retryAllowed(m.Service, now) {
+		m.reply.Answer(chosen{service: m.Service, err: r.pool.retryBudgetSpent(m.Service)})
+		return true
+	}
 	r.ticket++
 	choice, wait, err := r.pool.Choose(m.Request, r.ticket, now)
+	if err == nil && retry {
+		r.pool.chargeRetry(m.Service, now)
+	}
 	if err != nil && wait && now.Before(m.until) && len(r.awaitingOwner) < maxAwaitingOwner {
 		return false
 	}
--- a/internal/fleet/rebalance.go
+++ b/internal/fleet/rebalance.go
@@ -23,6 +23,12 @@
 	minMoveGain = 2.2
 	// minOverloadGain is the same for an owner that has more load than it can serve.
 	minOverloadGain = 1.4
+	// minUtilizationGap is how much busier than its new owner the owner of a range must
+	// be. The load of a few requests a second varies by a third from second to second.
+	minUtilizationGap = 0.25
+	// busyRangeFraction is the load of a range, as a fraction of the mean load of a
+	// target, from which on that doesn't matter: its load is no accident.
+	busyRangeFraction = 0.5
 	// minMoveLoad is the load of a range, in busy slots, below which moving it to
 	// relieve its owner isn't worth the wait of its callers.
 	minMoveLoad = 0.1
@@ -153,11 +159,8 @@
 				break
 			}
 			to := p.fastest(r.load)
-			gain, affordable := minMoveGain, r.load <= allowed
-			if from.saturated(0) {
-				gain, affordable = minOverloadGain, true // its callers wait or are refused anyway
-			}
-			if !affordable || to == nil || to == from || from.expectedLatency(0) < gain*to.expectedLatency(r.load) {
+			affordable := r.load <= allowed || from.saturated(0) // callers of a saturated owner wait or are refused anyway
+			if !affordable || to == nil || to == from || !p.worthMoving(from, to, r.load) {
 				if i++; i > maxRefusedMoves {
 					break
 				}
@@ -173,6 +176,19 @@
 	}
 }
 
+// worthMoving reports whether callers gain by the move of a range with a load.
+func (p *placement) worthMoving(from, to *candidate, load float64) bool {
+	gain := minMoveGain
+	if from.saturated(0) {
+		gain = minOverloadGain
+	}
+	if from.expectedLatency(0) < gain*to.expectedLatency(load) {
+		return false
+	}
+	busy := load >= busyRangeFraction*p.total/float64(len(p.byID))
+	return busy || from.utilization(0)-to.utilization(load) >= minUtilizationGap
+}
+
 // maxRefusedMoves is how many ranges of one target may be found not worth moving
 // before the target keeps the rest, which have less load.
 const maxRefusedMoves = 3
