--- a/internal/balance/departure_test.go
+++ b/internal/balance/departure_test.go
@@ -109,7 +109,7 @@
 			c, err := ask(1, start)
 			is.True(err == nil)
 			depart(p, c, start)
-			c, err = ask(2, start.Add(drainingOwnerGrace/2))
+			_, err = ask(2, start.Add(drainingOwnerGrace/2))
 			is.True(err == nil)
 			_, err = ask(5, start.Add(drainingOwnerGrace-time.Millisecond))
 			is.True(err == nil)
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -53,6 +53,7 @@
 	BodyTooLarge      Code = 105
 	TooManyForwards   Code = 106
 	DuplicateRequest  Code = 107
+	HeaderTooLarge    Code = 108
 	RateExceeded      Code = 200
 	Overloaded        Code = 201
 	DeadlineInQueue   Code = 202
@@ -104,6 +105,7 @@
 	UnknownCallerKey:  {"unknown_caller_key", NotRun, 401},
 	MissingKey:        {"missing_key", NotRun, 400},
 	BodyTooLarge:      {"body_too_large", NotRun, 413},
+	HeaderTooLarge:    {"header_too_large", NotRun, 431},
 	TooManyForwards:   {"too_many_forwards", NotRun, 503},
 	DuplicateRequest:  {"duplicate_request", MayHaveRun, 409},
 	RateExceeded:      {"rate_exceeded", NotRun, 429},
