Let the leader count no workspaces, and put the backup in another data centre

The backup, the next control VM in the order of addresses, was mostly of the same data centre, so that a cut took both.

Workspaces are hashed over the control VMs but the leader, if there are two others; the backup is half the list away.

--- a/internal/fleet/shares_test.go
+++ b/internal/fleet/shares_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -83,6 +84,17 @@
 	is.Equal(counter+backup, "")
 	_, backup = counterOf("w", before[:1])
 	is.Equal(backup, "")
+
+	var twoDataCentres []string
+	for i := range 6 {
+		twoDataCentres = append(twoDataCentres, fmt.Sprintf("10.%d.0.%d:7", i/3+1, i))
+	}
+	for i := range 100 {
+		counter, backup := counterOf(core.Workspace(fmt.Sprint("w-", i)), twoDataCentres)
+		is.True(counter[:5] != backup[:5]) // one data centre that is cut off takes only one of them
+	}
+	is.Equal(countersAmong(before, before[2]), append(slices.Clone(before[:2]), before[3:]...)) // the leader counts none
+	is.Equal(countersAmong(before[:2], before[0]), before[:2])
 }
 
 // BenchmarkReported measures the processing of one report on the leader of a large
--- a/internal/fleet/task_follow.go
+++ b/internal/fleet/task_follow.go
@@ -38,7 +38,7 @@
 // polling the leader.
 type Follower struct {
 	FollowerOptions
-	counters task.Snapshot[[]string] // inner addresses of the control VMs, sorted
+	counters task.Snapshot[[]string] // inner addresses of the control VMs that count workspaces, sorted
 }
 
 // NewFollower returns a task that is not running yet.
@@ -64,11 +64,25 @@
 		return "", ""
 	}
 	if len(addresses) > 1 {
-		backup = addresses[(best+1)%len(addresses)]
+		// Neighbours in the list are mostly of one data centre.
+		backup = addresses[(best+(len(addresses)+1)/2)%len(addresses)]
 	}
 	return addresses[best], backup
 }
 
+// minCounters is the number of control VMs beside the leader from which on the leader
+// counts no workspaces: it is the busiest of them.
+const minCounters = 2
+
+// countersAmong returns the control VMs that count workspaces.
+func countersAmong(controlAddresses []string, leader string) []string {
+	others := slices.DeleteFunc(slices.Clone(controlAddresses), func(address string) bool { return address == leader })
+	if len(others) < minCounters {
+		return controlAddresses
+	}
+	return others
+}
+
 // Draw requests tokens of workspaces from their counter at an inner address, or from
 // their backup. It isn't retried: the tokens of a lost answer count as spent.
 func (f *Follower) Draw(ctx context.Context, address string, wants []quota.Want, backup bool) ([]quota.Supply, error) {
@@ -148,14 +162,14 @@
 	}
 	f.leader = address
 	f.term, f.sequence = update.Term, update.Sequence
-	f.useControlVMs(update.ControlVMs)
+	f.useControlVMs(update.ControlVMs, address)
 	f.Deliver(ctx, update)
 	return true
 }
 
 // useControlVMs keeps the addresses of the control VMs in an update. An update of a
 // leader that doesn't know them yet has none.
-func (f *followRun) useControlVMs(vms []core.VM) {
+func (f *followRun) useControlVMs(vms []core.VM, leader string) {
 	if len(vms) == 0 {
 		return
 	}
@@ -165,9 +179,9 @@
 	}
 	slices.Sort(addresses)
 	addresses = slices.Compact(addresses)
-	if !slices.Equal(addresses, f.controlAddresses) {
-		f.controlAddresses = addresses
-		f.counters.Publish(&addresses)
+	f.controlAddresses = addresses
+	if counters := countersAmong(addresses, leader); !slices.Equal(counters, *f.counters.Load()) {
+		f.counters.Publish(&counters)
 	}
 }
 
