--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -3,8 +3,9 @@
 // this VM's part of the limits that all entry VMs share: the request rates of
 // workspaces, the allowances of cold targets and the retry budgets.
 //
-// The decisions are in this file, admission.go, choose.go, departure.go,
-// keyload.go, limits.go, subset.go and target.go; the task is in task.go and task_draw.go.
+// The decisions are in this file, admission.go, choose.go, departure.go, keyload.go,
+// limits.go, outcome.go, subset.go and target.go; the task is in task.go and
+// task_draw.go.
 package balance
 
 import (
