Play the two broken quota plans outright, and check what a new leader divides

Since the quota model draws lost counters, its kept cases decode to other plans than those that failed; that they pass said nothing any more. Two checks went with the leader's draws: that a new leader gives nothing of a rate that is held, and whom a VM without the lease names.

TestQuotaThroughACutAndANewLeader, TestQuotaThroughARestart and TestNewLeaderGrantsNoHeldRate; TestCountersNeedNoLease checks the name; TestCounterKeepsToItsPart also keeps to what the quota allows altogether. No product behaviour changes.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -194,8 +194,8 @@
 	}
 	best, suspect := p.cheapestOf(p.subset(r.Service), r, now)
 	if best == nil || suspect {
-		if any, _ := p.cheapestOf(p.services[r.Service], r, now); any != nil {
-			best = any
+		if other, _ := p.cheapestOf(p.services[r.Service], r, now); other != nil {
+			best = other
 		}
 	}
 	if best == nil {
--- a/internal/balance/departure_test.go
+++ b/internal/balance/departure_test.go
@@ -22,6 +22,18 @@
 	p.Done(o)
 }
 
+// poolWithOwner returns a pool in which the target i-1 owns all keys of a service.
+func poolWithOwner(t *testing.T) *Pool {
+	t.Helper()
+	p := testPool(testState(t, config.AssignKeys{Service: owned, Ranges: []config.KeyRange{
+		{First: 0, Last: config.KeySpace - 1, Owner: "i-1", Life: 1},
+	}}))
+	owner := stateOf("i-1", owned)
+	owner.Granted = 100
+	p.applyTargets(start, owner)
+	return p
+}
+
 // TestTargetThatSaysItLeavesGetsNoNewWork checks that an entry VM sends nothing
 // more to a target that said in an answer that it leaves, even if the leader does
 // not know it and lists the target again, and that the target's next incarnation
@@ -94,12 +106,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			p := testPool(testState(t, config.AssignKeys{Service: owned, Ranges: []config.KeyRange{
-				{First: 0, Last: config.KeySpace - 1, Owner: "i-1", Life: 1},
-			}}))
-			owner := stateOf("i-1", owned)
-			owner.Granted = 100
-			p.applyTargets(start, owner)
+			p := poolWithOwner(t)
 			ask := func(ticket uint64, now time.Time) (Choice, *result.Error) {
 				r := request(owned, now)
 				r.HasKey, r.Key = true, 7
@@ -191,12 +198,7 @@
 func TestResetsDontMakeATargetCold(t *testing.T) {
 	for _, reset := range []bool{true, false} {
 		is := is.New(t)
-		p := testPool(testState(t, config.AssignKeys{Service: owned, Ranges: []config.KeyRange{
-			{First: 0, Last: config.KeySpace - 1, Owner: "i-1", Life: 1},
-		}}))
-		owner := stateOf("i-1", owned)
-		owner.Granted = 100
-		p.applyTargets(start, owner)
+		p := poolWithOwner(t)
 		now := start
 		ask := func(ticket uint64) (Choice, *result.Error) {
 			r := request(owned, now)
--- a/internal/balance/limits.go
+++ b/internal/balance/limits.go
@@ -19,7 +19,7 @@
 	recentDemand, usualDemand float64
 	demandAt                  time.Time
 	retryAt                   time.Time // time for which the newest refused caller was asked to retry
-	noDrawBefore              time.Time // earliest time of the next draw from the leader
+	noDrawBefore              time.Time // earliest time of the next draw from the counter
 }
 
 const (
--- a/internal/balance/quota_model_test.go
+++ b/internal/balance/quota_model_test.go
@@ -47,3 +47,37 @@
 		}
 	})
 }
+
+// TestQuotaThroughACutAndANewLeader plays the plan that broke the quota when shares had
+// no lease: an entry VM is cut off before it has reported to a new leader and keeps
+// its share, while the leader divides the whole rate among the others.
+func TestQuotaThroughACutAndANewLeader(t *testing.T) {
+	for seed := range uint64(8) {
+		sim := newRatesSimulation(t, seed, 3, 9, 200, 200)
+		sim.run(4*time.Second, 100, false)
+		sim.setPartitioned(0, true)
+		sim.book.BeginTerm(2, sim.now)
+		sim.run(12*time.Second, 4000, true)
+		if float64(sim.mostInWindow()) > sim.bound() {
+			t.Errorf("seed %d: %d requests in a window, %.0f are allowed", seed, sim.mostInWindow(), sim.bound())
+		}
+	}
+}
+
+// TestQuotaThroughARestart plays the plan that broke the quota when a first share came
+// with a full bucket: entry VMs restart in the middle of a surge.
+func TestQuotaThroughARestart(t *testing.T) {
+	for seed := range uint64(8) {
+		sim := newRatesSimulation(t, seed, 3, 9, 200, 200)
+		sim.run(4*time.Second, 100, false)
+		sim.run(300*time.Millisecond, 4000, true)
+		for i := range sim.pools {
+			sim.restart(i)
+			sim.run(500*time.Millisecond, 4000, true)
+		}
+		sim.run(6*time.Second, 4000, true)
+		if float64(sim.mostInWindow()) > sim.bound() {
+			t.Errorf("seed %d: %d requests in a window, %.0f are allowed", seed, sim.mostInWindow(), sim.bound())
+		}
+	}
+}
--- a/internal/fleet/shares_test.go
+++ b/internal/fleet/shares_test.go
@@ -45,10 +45,41 @@
 		limit := undivided*(40*5+q.burstReserve(tenancy)) + 2*headStartTokens
 		t.Logf("%d entry VMs: %d tokens, limit %.0f", entryVMs, drawn, limit)
 		is.True(float64(drawn) <= limit)
+		inWindow := 40*q.Window.Seconds() + tenancy.Burst
+		is.True(float64(drawn) <= inWindow*(1+q.Overage)+q.Slack) // what the quota allows altogether
 		is.True(float64(drawn) >= 0.9*undivided*40*5)
 	}
 }
 
+// TestNewLeaderGrantsNoHeldRate checks that a new leader divides nothing of a rate that
+// entry VMs hold from the previous leader, and lets no share grow while one that
+// hasn't reported may still hold one.
+func TestNewLeaderGrantsNoHeldRate(t *testing.T) {
+	is := is.New(t)
+	state := ratesState(1, 40)
+	state.EntryVMs = 4
+	start := time.Unix(1000, 0)
+	held := largestDividedFraction * 40 / 4
+	report := func(leader *LeaderState, vm string, rate, granted float64, now time.Time) float64 {
+		r := Report{VM: core.VM(vm), Demand: []Demand{{Workspace: "workspace-0", Rate: rate, GrantedRate: granted}}}
+		shares, _, _ := leader.ApplyReport(r, state, now)
+		if len(shares) == 0 {
+			return 0
+		}
+		return shares[0].Rate
+	}
+	for _, reported := range []int{4, 2} {
+		leader := NewLeaderState(testParameters)
+		leader.BeginTerm(7, start)
+		for i := range reported { // while the leader collects, all keep what they hold
+			is.Equal(report(leader, fmt.Sprint("entry-", i), 1, held, start.Add(time.Millisecond)), 0.0)
+		}
+		now := start.Add(reportCollectionTime)
+		is.Equal(report(leader, "new", 1000, 0, now), 0.0)
+		is.True(report(leader, "entry-0", 1000, held, now) <= held+1e-9)
+	}
+}
+
 // TestUnknownWorkspaceGetsNoTokens checks that a draw for an unknown workspace
 // returns no tokens, and the time after which to retry.
 func TestUnknownWorkspaceGetsNoTokens(t *testing.T) {
--- a/internal/fleet/task_test.go
+++ b/internal/fleet/task_test.go
@@ -100,6 +100,7 @@
 		_, err = follower.Draw(ctx, []quota.Want{{Workspace: "w", Tokens: 1}}, false)
 		var notLeading NotLeading
 		is.True(errors.As(err, &notLeading))
+		is.Equal(notLeading.Leader, core.VM("")) // it names nobody it can't know to lead
 		cancel()
 		synctest.Wait()
 	})
