Review: a heartbeat of another writer takes a worker's keys while its lease runs

A heartbeat with the id of a live worker and a service that the configuration doesn't name counts as a newer incarnation.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]theCase{
 	"late-copy": {controls: 3, entries: 8, play: playLateCopy},
+	"foreign":   {controls: 3, entries: 2, play: playForeign},
 }
 
 const (
