Review: a withdrawn key is served after a freeze, later than the bound

The key is checked against the configuration held when the request is read, the bound against the one in force when it is sent.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,8 +21,9 @@
 }
 
 var cases = map[string]theCase{
-	"late-copy": {controls: 3, entries: 8, play: playLateCopy},
-	"foreign":   {controls: 3, entries: 2, play: playForeign},
+	"late-copy":  {controls: 3, entries: 8, play: playLateCopy},
+	"foreign":    {controls: 3, entries: 2, play: playForeign},
+	"revocation": {controls: 3, entries: 2, play: playRevocation},
 }
 
 const (
