--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,6 +24,7 @@
 	"late-copy":  {controls: 3, entries: 8, play: playLateCopy},
 	"foreign":    {controls: 3, entries: 2, play: playForeign},
 	"revocation": {controls: 3, entries: 2, play: playRevocation},
+	"uploads":    {controls: 3, entries: 2, play: playUploads},
 }
 
 const (
