--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -25,6 +25,7 @@
 	"foreign":    {controls: 3, entries: 2, play: playForeign},
 	"revocation": {controls: 3, entries: 2, play: playRevocation},
 	"uploads":    {controls: 3, entries: 2, play: playUploads},
+	"shrink":     {controls: 3, entries: 2, play: playShrink},
 }
 
 const (
