Restart each failing task after a delay of its own

Callers saw: after the disk of a control VM had been full for 4.5 s, its replica of the registry stayed away for 15 s and more.

Cause: suture pauses the restarts of all tasks of a supervisor for 15 s to 22.5 s after the sixth failure within its decay time. A full disk causes six failures within a few milliseconds, as each run of the replica fails when it opens its storage.

Fix: internal/task wraps each task with a restart delay of its own, from 50 ms up to 1 s while it keeps failing, and turns the supervisor's common pause off. The delay no longer depends on what failed before, and one failing task doesn't hold up the restarts of the others. Both assemblies use this supervisor.

Tests: without the change TestTaskRunsSoonAfterItsResourceIsBack, TestFailingTaskDoesNotDelayOthers and TestReplicaReturnsAfterAFullDisk fail; in the last one a read at the replica finds no answer within 2 s.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
-	"github.com/thejerf/suture/v4"
 
 	"github.com/comfreynotch/comfreynotch/internal/cell"
 	"github.com/comfreynotch/comfreynotch/internal/config"
@@ -33,7 +32,7 @@
 type Daemon struct {
 	settings  *settings.Settings
 	logger    log.Logger
-	root      *suture.Supervisor
+	root      *task.Supervisor
 	listeners listeners
 
 	registry   *registryAccess
--- /dev/null
+++ b/internal/registry/disk_test.go
@@ -0,0 +1,117 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/comfreynotch/comfreynotch/internal/configjson"
+	"github.com/comfreynotch/comfreynotch/internal/configsync"
+	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/storage"
+	"github.com/comfreynotch/comfreynotch/internal/task"
+)
+
+var errDiskFull = errors.New("no space left on device")
+
+// fillableDisk refuses every write while it is full.
+type fillableDisk struct {
+	storage.FileSystem
+	full *atomic.Bool
+}
+
+func (d fillableDisk) OpenLog(name string, size int64) (storage.LogFile, error) {
+	if d.full.Load() {
+		return nil, errDiskFull
+	}
+	f, err := d.FileSystem.OpenLog(name, size)
+	return fillableFile{f, d.full}, err
+}
+
+func (d fillableDisk) Replace(name string, data []byte) error {
+	if d.full.Load() {
+		return errDiskFull
+	}
+	return d.FileSystem.Replace(name, data)
+}
+
+type fillableFile struct {
+	storage.LogFile
+	full *atomic.Bool
+}
+
+func (f fillableFile) Write(p []byte) (int, error) {
+	if f.full.Load() {
+		return 0, errDiskFull
+	}
+	return f.LogFile.Write(p)
+}
+
+// startSupervised starts a voter of v1 to v3 on a disk that can fill up, under the
+// supervisor of a control VM.
+func (n *network) startSupervised(t *testing.T, vm core.VM) (v *voter, full *atomic.Bool) {
+	t.Helper()
+	full = &atomic.Bool{}
+	v = &voter{vm: vm, net: n, files: fillableDisk{storage.InMemory(), full}}
+	replica, err := NewTask(Options{
+		Self: vm, Members: members(3), Bootstrap: bootstrapChange, Files: v.files, Codec: configjson.Codec{},
+		Transport: link{n, vm}, Seed: uint64(vm[1]) * 7919,
+		OnUpdate: func(configsync.Update) {}, OnEvent: func(string, string) {},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	supervisor := task.NewSupervisor(string(vm), func(string) {})
+	supervisor.Add(task.Func("registry", replica.Serve))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = supervisor.Serve(ctx)
+	}()
+	n.withLock(func() { v.task, v.stop, v.done, n.voters[vm] = replica, cancel, done, v })
+	return v, full
+}
+
+// TestReplicaReturnsAfterAFullDisk guards against a replica that stays away long
+// after its disk takes writes again, so that the next loss of a disk leaves the
+// registry without a majority: the leader's disk refuses writes for 4.5 s, and within
+// 2 s after that the replica has all changes that the others accepted meanwhile.
+func TestReplicaReturnsAfterAFullDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		full := map[core.VM]*atomic.Bool{}
+		for _, m := range members(3) {
+			_, full[m.VM] = n.startSupervised(t, m.VM)
+		}
+		away := n.leader()
+		_, err := away.task.Propose(t.Context(), put("before", 0, 1))
+		is.NoErr(err)
+
+		full[away.vm].Store(true)
+		filledAt := time.Now()
+		var other *voter
+		for _, v := range n.voters {
+			if v != away {
+				other = v
+			}
+		}
+		accepted, err := other.task.Propose(t.Context(), put("meanwhile", 0, 2))
+		is.NoErr(err)
+		time.Sleep(4500*time.Millisecond - time.Since(filledAt))
+
+		full[away.vm].Store(false)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		state, err := away.task.Read(ctx)
+		is.NoErr(err)
+		is.True(state.Version >= accepted.Version)
+		n.stopAll()
+	})
+}
