Answer callers at once while a replica's storage fails

Callers saw: a control VM whose disk refuses writes gave no answer to changes, reads and status requests; an operator moved on only after its own timeout.

Cause: the run of the replica's task ended at the failed write without answers to the proposals it had taken, and nothing read the mailbox until a later run could open the storage.

Evidence: TestFullDiskAnswersCallersAtOnce fails before this change: a proposal at the leader has no answer after 100 ms, nor later.

Fix: the task handles a failed storage itself. It answers what may have reached the log as unknown, rejects everything else as not run, and opens the storage again every 250 ms. A forwarded attempt at such a leader is retried, because the others elect a new one; an attempt on the VM's own replica is rejected at once.

--- a/internal/registry/disk_test.go
+++ b/internal/registry/disk_test.go
@@ -13,6 +13,7 @@
 	"github.com/comfreynotch/comfreynotch/internal/configjson"
 	"github.com/comfreynotch/comfreynotch/internal/configsync"
 	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/result"
 	"github.com/comfreynotch/comfreynotch/internal/storage"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
@@ -110,8 +111,50 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 		defer cancel()
 		state, err := away.task.Read(ctx)
+		for err != nil && ctx.Err() == nil { // reads are rejected until the storage is open again
+			time.Sleep(50 * time.Millisecond)
+			state, err = away.task.Read(ctx)
+		}
 		is.NoErr(err)
 		is.True(state.Version >= accepted.Version)
 		n.stopAll()
 	})
 }
+
+// TestFullDiskAnswersCallersAtOnce guards against callers that wait for their own
+// timeout while a replica can't write: their proposals, reads and status requests are
+// answered at once, and a proposal that may have reached the log isn't reported as
+// not run.
+func TestFullDiskAnswersCallersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetwork()
+		full := map[core.VM]*atomic.Bool{}
+		for _, m := range members(3) {
+			_, full[m.VM] = n.startSupervised(t, m.VM)
+		}
+		leader := n.leader()
+		_, err := leader.task.Propose(t.Context(), put("before", 0, 1))
+		is.NoErr(err)
+		full[leader.vm].Store(true)
+		command, err := configjson.Codec{}.EncodeCommand(put("first", 0, 2))
+		is.NoErr(err)
+		const atOnce = 100 * time.Millisecond
+		for i := range 30 {
+			ctx, cancel := context.WithTimeout(t.Context(), atOnce)
+			_, err = leader.task.ProposeLocal(ctx, command)
+			is.True(err != nil)
+			is.True(i > 0 || result.From(err).Ran != result.NotRun) // the first one reached the log
+			is.NoErr(ctx.Err())
+			_, err = leader.task.Status(ctx)
+			is.NoErr(ctx.Err())
+			_, err = leader.task.Read(ctx)
+			is.True(err != nil)
+			is.NoErr(ctx.Err())
+			cancel()
+			time.Sleep(97 * time.Millisecond)
+		}
+		full[leader.vm].Store(false)
+		n.stopAll()
+	})
+}
--- a/internal/registry/task.go
+++ b/internal/registry/task.go
@@ -3,12 +3,14 @@
 //
 // The decisions are in machine.go, pending.go and package raft. One task owns the
 // raft core, the storage and the state machine: task.go is its interface,
-// task_replica.go its main loop and task_read.go its handling of reads.
+// task_replica.go its main loop and task_read.go its handling of reads and
+// task_reject.go its answers while it can't serve.
 // task_peer.go is the task that sends to one other member, and task_propose.go
 // has the client functions, which run on the caller's goroutine.
 package registry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -56,7 +58,7 @@
 	SnapshotEntries int                      // number of entries between two snapshots; 0 means 8192
 	Seed            uint64                   // seed of the random election timeouts; must differ between voters
 	OnUpdate        func(configsync.Update)  // called on the task's goroutine; must not block
-	OnEvent         func(event, text string) // called for a new leader, new members and a failed bootstrap; must not block
+	OnEvent         func(event, text string) // called for a new leader, new members, a failed bootstrap and a failed storage; must not block
 }
 
 // Task owns one replica of the registry.
@@ -129,7 +131,8 @@
 
 // Status returns this replica's view of the registry.
 func (t *Task) Status(ctx context.Context) (raft.Status, error) {
-	return task.Ask(ctx, t.mailbox, func(r task.Reply[raft.Status]) message { return statusRequest{r} })
+	a, err := task.Ask(ctx, t.mailbox, func(r task.Reply[statusAnswer]) message { return statusRequest{r} })
+	return a.status, cmp.Or(err, a.err)
 }
 
 // message is a message to the task.
@@ -154,7 +157,7 @@
 		reply   task.Reply[answer]
 	}
 	readRequest   struct{ reply task.Reply[answer] }
-	statusRequest struct{ reply task.Reply[raft.Status] }
+	statusRequest struct{ reply task.Reply[statusAnswer] }
 )
 
 func (inbound) isMessage()            {}
@@ -170,3 +173,8 @@
 	err     error
 	leader  raft.Member // set along with err if another member is the leader, which the caller should ask
 }
+
+type statusAnswer struct {
+	status raft.Status
+	err    error
+}
--- a/internal/registry/task_propose.go
+++ b/internal/registry/task_propose.go
@@ -85,7 +85,8 @@
 func (t *Task) proposeAttempt(ctx context.Context, command []byte) (core.Version, error) {
 	a := t.askReplica(ctx, func(r task.Reply[answer]) message { return proposal{command, r} })
 	if a.leader.VM != "" {
-		return t.options.Transport.Propose(ctx, a.leader, command)
+		version, err := t.options.Transport.Propose(ctx, a.leader, command)
+		return version, forwardedError(err)
 	}
 	return a.version, a.err
 }
@@ -141,6 +142,16 @@
 	}
 }
 
+// forwardedError returns the error of an attempt at the leader. A leader without
+// storage is replaced soon, so the attempt is worth a retry, other than one on a
+// replica of this VM without storage.
+func forwardedError(err error) error {
+	if e := result.From(err); err != nil && e.Code == result.StorageFailed && e.Ran == result.NotRun {
+		return result.Wrap(result.NoLeader, err, "the leader has no storage")
+	}
+	return err
+}
+
 func isTemporary(c result.Code) bool {
 	return c == result.NoLeader || c == result.Overloaded || c == result.Starting || c == result.Stopping
 }
@@ -225,7 +236,7 @@
 func (t *Task) changeAttempt(ctx context.Context, change MemberChange) error {
 	a := t.askReplica(ctx, func(r task.Reply[answer]) message { return memberProposal{change, r} })
 	if a.leader.VM != "" {
-		return t.options.Transport.ChangeMember(ctx, a.leader, change)
+		return forwardedError(t.options.Transport.ChangeMember(ctx, a.leader, change))
 	}
 	return a.err
 }
--- a/internal/registry/task_replica.go
+++ b/internal/registry/task_replica.go
@@ -22,6 +22,10 @@
 	// A snapshot keeps Options.SnapshotEntries/retainedDivisor of the entries before it
 	// in the log, for members that are slightly behind.
 	retainedDivisor = 4
+
+	// storageRetryPeriod is the time between two attempts to open a storage that
+	// failed, such as one on a full disk.
+	storageRetryPeriod = 250 * time.Millisecond
 )
 
 // replica is the state of one run of the task. Each run starts from the stored
@@ -56,8 +60,24 @@
 }
 
 // Serve runs the replica until ctx ends, then transfers the leadership if it is
-// the leader.
+// the leader. While the storage fails, it rejects all messages at once and opens
+// the storage again from time to time: after a failed write only reading it again
+// shows what it holds.
 func (t *Task) Serve(ctx context.Context) error {
+	for failed := false; ; failed = true {
+		err := t.run(ctx, failed)
+		if result.CodeOf(err) != result.StorageFailed || ctx.Err() != nil {
+			return err
+		}
+		if !failed {
+			t.options.OnEvent("storage", err.Error())
+		}
+		rejectFor(ctx, t.mailbox, storageRetryPeriod, unavailable(err))
+	}
+}
+
+// run runs the replica until ctx ends or the storage fails.
+func (t *Task) run(ctx context.Context, storageFailed bool) error {
 	opened := t.openedStorage
 	t.openedStorage = nil
 	if opened == nil {
@@ -67,6 +87,9 @@
 		}
 	}
 	defer func() { _ = opened.store.Close() }()
+	if storageFailed {
+		t.options.OnEvent("storage", "opened again after a failure")
+	}
 	r, err := t.newReplica(opened)
 	if err != nil {
 		return err
@@ -79,12 +102,13 @@
 	defer ticker.Stop()
 	for {
 		if err := r.process(peersCtx); err != nil {
+			r.rejectOutstanding(t.mailbox, unavailable(err))
 			return err
 		}
 		select {
 		case <-ctx.Done():
 			r.transferLeadership(peersCtx)
-			r.rejectOutstanding(t.mailbox)
+			r.rejectOutstanding(t.mailbox, result.New(result.Stopping, "the registry replica on this VM is stopping"))
 			return ctx.Err()
 		case <-ticker.C:
 			r.tick()
@@ -145,7 +169,7 @@
 	case readRequest:
 		r.startRead(m.reply)
 	case statusRequest:
-		m.reply.Answer(r.core.Status())
+		m.reply.Answer(statusAnswer{status: r.core.Status()})
 	}
 }
 
@@ -323,29 +347,3 @@
 		}
 	}
 }
-
-// rejectOutstanding answers the pending and the queued proposals, reads and waits
-// when the replica stops.
-func (r *replica) rejectOutstanding(mailbox task.Mailbox[message]) {
-	for index := range r.pending {
-		r.answerUnknown(index)
-	}
-	for id, q := range r.reads {
-		r.finishRead(id, q, result.New(result.Stopping, "the registry replica on this VM is stopping"))
-	}
-	for _, w := range r.versionWaiters {
-		w.request.reply.Answer(answer{err: result.New(result.CommitUnknown, "the registry replica on this VM is stopping")})
-	}
-	for mailbox.Len() > 0 {
-		switch m := (<-mailbox.C()).(type) {
-		case proposal:
-			m.reply.Answer(answer{err: result.New(result.Stopping, "the registry replica on this VM is stopping")})
-		case memberProposal:
-			m.reply.Answer(answer{err: result.New(result.Stopping, "the registry replica on this VM is stopping")})
-		case readRequest:
-			m.reply.Answer(answer{err: result.New(result.Stopping, "the registry replica on this VM is stopping")})
-		case versionWaitRequest:
-			m.reply.Answer(answer{err: result.New(result.CommitUnknown, "the registry replica on this VM is stopping")})
-		}
-	}
-}
