--- a/internal/registry/disk_test.go
+++ b/internal/registry/disk_test.go
@@ -146,7 +146,7 @@
 			is.True(err != nil)
 			is.True(i > 0 || result.From(err).Ran != result.NotRun) // the first one reached the log
 			is.NoErr(ctx.Err())
-			_, err = leader.task.Status(ctx)
+			_, _ = leader.task.Status(ctx)
 			is.NoErr(ctx.Err())
 			_, err = leader.task.Read(ctx)
 			is.True(err != nil)
