Send no two attempts of a request over one connection

Cause: an answer was matched to an attempt by its connection and the request's id. A repeated request keeps its id, and the transport gave it the connection of its first attempt, the one that became idle last. A late copy of the first refusal was taken for the answer to the second attempt, which ran.

Closing each connection after a refusal was weighed and not taken: it costs a new connection per refusal under overload.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -24,6 +24,10 @@
 	delays []time.Duration // time until the outcome of each attempt
 	sent   int
 	done   []balance.Outcome
+	// addresses are those of the targets, all different if nil. earlier holds what the
+	// relay said of earlier attempts.
+	addresses []string
+	earlier   []int
 }
 
 func (s *script) Choose(context.Context, balance.Request, time.Time) (balance.Choice, core.Service, *result.Error) {
@@ -32,12 +36,17 @@
 		return balance.Choice{}, "certdesk", result.New(result.NoTarget, "no more targets")
 	}
 	id := core.TargetID(fmt.Sprint("i-", s.sent))
-	return balance.Choice{Target: core.Target{ID: id}, Ticket: uint64(s.sent), HedgeDelay: 200 * time.Millisecond}, "certdesk", nil
+	address := string(id)
+	if s.addresses != nil {
+		address = s.addresses[s.sent-1]
+	}
+	return balance.Choice{Target: core.Target{ID: id, Address: address}, Ticket: uint64(s.sent), HedgeDelay: 200 * time.Millisecond}, "certdesk", nil
 }
 
 func (s *script) Done(o balance.Outcome) { s.done = append(s.done, o) }
 
-func (s *script) Send(ctx context.Context, t core.Target, _ *Call) AttemptResult {
+func (s *script) Send(ctx context.Context, t core.Target, _ *Call, earlier int) AttemptResult {
+	s.earlier = append(s.earlier, earlier)
 	var attempt int
 	_, _ = fmt.Sscanf(string(t.ID), "i-%d", &attempt)
 	if attempt <= len(s.delays) {
@@ -169,3 +178,20 @@
 		is.Equal(len(s.done), 1) // the balancer no longer counts the request as in flight
 	})
 }
+
+// TestSenderLearnsOfEarlierAttempts guards against a repeated request that is sent
+// over the connection of its first attempt: the sender is told how many attempts
+// went to the same address before.
+func TestSenderLearnsOfEarlierAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		refused := failed(result.TargetRefused, result.NotRun)
+		s := &script{
+			steps:     []AttemptResult{refused, refused, refused, answered(200)},
+			addresses: []string{"a:1", "b:1", "a:1", "a:1"},
+		}
+		_, err := serve(s, call(false))
+		is.NoErr(err)
+		is.Equal(s.earlier, []int{0, 0, 1, 2})
+	})
+}
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -50,7 +50,9 @@
 
 // Sender sends a request to one target, once.
 type Sender interface {
-	Send(ctx context.Context, t core.Target, c *Call) AttemptResult
+	// Send sends the request over a connection that carried none of the earlier
+	// attempts of it. earlier is the number of those that went to t's address.
+	Send(ctx context.Context, t core.Target, c *Call, earlier int) AttemptResult
 }
 
 // Balancer chooses targets.
@@ -95,6 +97,7 @@
 	service  core.Service
 	history  history
 	tried    []core.TargetID
+	sentTo   []string // address of each attempt's target
 	results  chan finishedAttempt
 	inFlight []attempt
 	last     AttemptResult // newest outcome
@@ -140,19 +143,31 @@
 		return err
 	}
 	a.Record(Event{Call: a.Call, Kind: "chosen", Choice: choice, Service: service, Attempts: a.history.attempts})
-	a.tried = append(a.tried, choice.Target.ID)
+	earlier := a.earlierAttempts(choice.Target.Address)
+	a.tried, a.sentTo = append(a.tried, choice.Target.ID), append(a.sentTo, choice.Target.Address)
 	sendContext, cancel := context.WithDeadline(ctx, a.Deadline)
 	current := attempt{choice, cancel}
 	a.inFlight = append(a.inFlight, current)
 	go func() {
 		start := clock.Now()
-		sent := a.Sender.Send(sendContext, choice.Target, a.Call)
+		sent := a.Sender.Send(sendContext, choice.Target, a.Call, earlier)
 		a.Balancer.Done(a.outcomeOf(ctx, current, sent, start))
 		a.results <- finishedAttempt{current, sent}
 	}()
 	return nil
 }
 
+// earlierAttempts returns the number of attempts that were sent to an address.
+func (a *requestState) earlierAttempts(address string) int {
+	n := 0
+	for _, sentTo := range a.sentTo {
+		if sentTo == address {
+			n++
+		}
+	}
+	return n
+}
+
 // outcomeOf returns the outcome of an attempt as the balancer counts it.
 func (a *requestState) outcomeOf(ctx context.Context, f attempt, sent AttemptResult, start time.Time) balance.Outcome {
 	now := clock.Now()
