Repeat requests over new connections in the daemon's own protocol too

Callers saw: nothing yet; this path is not started by the deploy file.

Evidence: TestLateCopyOfARefusalIsNotTheAnswerToARepeat (internal/upstream) fails without the change: the third attempt counts as refused though it ran.

Fix: a pool has a second transport, without kept connections, for attempts after the first one. The number of earlier attempts is part of the request and is forwarded between daemons already.

--- a/internal/upstream/task.go
+++ b/internal/upstream/task.go
@@ -28,7 +28,20 @@
 	target    core.TargetID
 	address   string
 	limit     int // connections
-	transport *http.Transport
+	transport *http.Transport // for first attempts
+	// repeats opens a connection for each later attempt of a request, so that a late
+	// copy of the answer to an earlier one, which has the same id, isn't taken for its
+	// answer.
+	repeats *http.Transport
+}
+
+// transportFor returns the transport for an attempt of a request after a number of
+// earlier ones.
+func (p *pool) transportFor(earlier int) *http.Transport {
+	if earlier > 0 {
+		return p.repeats
+	}
+	return p.transport
 }
 
 type message interface{ isMessage() }
@@ -162,7 +175,8 @@
 	if old != nil && old.address == t.Address && old.limit == limit {
 		return old
 	}
-	p := &pool{target: t.ID, address: t.Address, limit: limit, transport: newTransport(limit)}
+	p := &pool{target: t.ID, address: t.Address, limit: limit, transport: newTransport(limit), repeats: newTransport(limit)}
+	p.repeats.DisableKeepAlives = true
 	next := maps.Clone(*c.pools.Load())
 	next[t.ID] = p
 	c.pools.Publish(&next)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -59,7 +59,7 @@
 		c.suspect(p, func() { abortUnless(answered, cancel) })
 	})
 	start := time.Now()
-	resp, err := p.transport.RoundTrip(req)
+	resp, err := p.transportFor(r.Attempt).RoundTrip(req)
 	latency := time.Since(start)
 	close(answered)
 	suspectTimer.Stop()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -200,6 +200,36 @@
 	}
 }
 
+// TestLateCopyOfARefusalIsNotTheAnswerToARepeat guards against a late copy of a
+// refusal that is taken for the answer to the next attempt of the same request, which
+// has the same id: the request then counts as not run though it ran.
+func TestLateCopyOfARefusalIsNotTheAnswerToARepeat(t *testing.T) {
+	is := is.New(t)
+	const refusal = "503 No\r\nContent-Length: 0\r\n" + HeaderNotRun + ": 1"
+	s := newStub(t, func(c net.Conn, req *http.Request, connection, number int) bool {
+		switch {
+		case connection < 2 && number == 0:
+			answer(c, req, refusal, "")
+		case number > 0:
+			answer(c, req, refusal, "") // the late copy
+			fallthrough
+		default:
+			answer(c, req, "200 OK\r\nContent-Length: 3", "ran")
+		}
+		return true
+	})
+	c := startClient(t)
+	r := request("r", http.MethodPost)
+	for range 2 {
+		_, _, err := c.Send(t.Context(), s.slot(), config.Service{}, r)
+		is.Equal(result.CodeOf(err), result.TargetRefused)
+		r.Attempt++
+	}
+	a, _, err := c.Send(t.Context(), s.slot(), config.Service{}, r)
+	is.NoErr(err)
+	is.Equal(string(a.Body), "ran")
+}
+
 // TestWholeAnswers checks the body and length of answers that are chunked, are
 // too long to be buffered, or have no body because of their method or status.
 func TestWholeAnswers(t *testing.T) {
