Look the caller key up again before each attempt

Cause: a request was accepted with its key by the old configuration and waited for a target. Before the send only the age of the proof was checked, and of the configuration in force by then, in which the key was not looked up.

Fix: Call.Authorize runs before each attempt. It checks the age of the proof and then finds the workspace of the key in the configuration in force; another one, or none, ends the request as not run. configsync publishes a configuration before its proof, and the check reads them in the other order, so that the proof never belongs to a newer configuration than the one that is used.

--- a/internal/configsync/task.go
+++ b/internal/configsync/task.go
@@ -148,24 +148,27 @@
 	if u.State.Version < t.newest.Version {
 		return
 	}
-	if u.ConfirmedAt.After(t.confirmedAt) {
-		t.confirmedAt = u.ConfirmedAt
-		t.proof.Publish(&u.ConfirmedAt)
-	}
+	newer := u.State.Version > t.newest.Version
 	firstConfirmation := u.Confirmed && !t.confirmed
-	t.confirmed = t.confirmed || u.Confirmed
-	if u.State.Version > t.newest.Version {
+	if newer {
 		t.history.add(u.State.Version, u.Commands)
 		t.newest = u.State
-	} else if !firstConfirmation {
-		return
 	}
-	if !t.confirmed {
-		return
+	t.confirmed = t.confirmed || u.Confirmed
+	publish := t.confirmed && (newer || firstConfirmation)
+	if publish {
+		t.state.Publish(t.newest)
+		t.changed(t.newest)
+	}
+	// The proof is published after the state that it proves, so that a reader which
+	// loads the proof first gets this state or a newer one.
+	if u.ConfirmedAt.After(t.confirmedAt) {
+		t.confirmedAt = u.ConfirmedAt
+		t.proof.Publish(&u.ConfirmedAt)
+	}
+	if publish {
+		t.answerWaiters(func(w waiter) bool { return w.version < t.newest.Version })
 	}
-	t.state.Publish(t.newest)
-	t.changed(t.newest)
-	t.answerWaiters(func(w waiter) bool { return w.version < t.newest.Version })
 }
 
 // handleWatch answers q at once, or adds it to the waiters if there is nothing
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -24,10 +24,10 @@
 	delays []time.Duration // time until the outcome of each attempt
 	sent   int
 	done   []balance.Outcome
-	// addresses are those of the targets, all different if nil. earlier holds what the
-	// relay said of earlier attempts.
+	// addresses are those of the targets, all different if nil. earlier, if not nil,
+	// receives the number of earlier attempts for each call of Send.
 	addresses []string
-	earlier   []int
+	earlier   chan int
 }
 
 func (s *script) Choose(context.Context, balance.Request, time.Time) (balance.Choice, core.Service, *result.Error) {
@@ -46,7 +46,9 @@
 func (s *script) Done(o balance.Outcome) { s.done = append(s.done, o) }
 
 func (s *script) Send(ctx context.Context, t core.Target, _ *Call, earlier int) AttemptResult {
-	s.earlier = append(s.earlier, earlier)
+	if s.earlier != nil {
+		s.earlier <- earlier
+	}
 	var attempt int
 	_, _ = fmt.Sscanf(string(t.ID), "i-%d", &attempt)
 	if attempt <= len(s.delays) {
@@ -72,7 +74,7 @@
 func call(retryable bool) *Call {
 	return &Call{
 		Request: &exchange.Request{ID: "r", Retryable: retryable, Deadline: clock.Now().Add(time.Second)},
-		Route:   config.Route{Name: "route", Attempts: 2}, ConfirmedRecently: func() bool { return true },
+		Route:   config.Route{Name: "route", Attempts: 2}, Authorize: func() *result.Error { return nil },
 	}
 }
 
@@ -169,16 +171,42 @@
 func TestStaleKeyIsNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &script{steps: []AttemptResult{answered(200)}}
+		s := &script{steps: []AttemptResult{answered(200)}, earlier: make(chan int, 4)}
 		c := call(true)
-		c.ConfirmedRecently = func() bool { return false }
+		c.Authorize = func() *result.Error { return result.New(result.NoLease, "stale") }
 		_, err := serve(s, c)
 		is.Equal(result.From(err).Code, result.NoLease)
 		is.Equal(result.From(err).Ran, result.NotRun)
+		is.Equal(len(s.earlier), 0)
 		is.Equal(len(s.done), 1) // the balancer no longer counts the request as in flight
 	})
 }
 
+// TestUnauthorizedRequestIsNotSent checks that a request which may not be sent, since
+// its caller key was withdrawn or not confirmed recently enough, reaches no target,
+// and that this is checked after the wait for a target, before each attempt.
+func TestUnauthorizedRequestIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		refused := failed(result.TargetRefused, result.NotRun)
+		s := &script{steps: []AttemptResult{refused, answered(200)}, earlier: make(chan int, 4)}
+		c := call(true)
+		chosen := 0
+		c.Authorize = func() *result.Error {
+			is.True(s.sent > chosen) // a target was chosen for this attempt
+			if chosen = s.sent; chosen == 1 {
+				return nil
+			}
+			return result.New(result.UnknownCallerKey, "withdrawn")
+		}
+		_, err := serve(s, c)
+		is.Equal(result.From(err).Code, result.UnknownCallerKey)
+		is.Equal(result.From(err).Ran, result.NotRun)
+		is.Equal(len(s.earlier), 1) // only the first attempt was sent
+		is.Equal(len(s.done), 2)    // the balancer no longer counts the request as in flight
+	})
+}
+
 // TestSenderLearnsOfEarlierAttempts guards against a repeated request that is sent
 // over the connection of its first attempt: the sender is told how many attempts
 // went to the same address before.
@@ -188,10 +216,12 @@
 		refused := failed(result.TargetRefused, result.NotRun)
 		s := &script{
 			steps:     []AttemptResult{refused, refused, refused, answered(200)},
-			addresses: []string{"a:1", "b:1", "a:1", "a:1"},
+			addresses: []string{"a:1", "b:1", "a:1", "a:1"}, earlier: make(chan int, 4),
 		}
 		_, err := serve(s, call(false))
 		is.NoErr(err)
-		is.Equal(s.earlier, []int{0, 0, 1, 2})
+		for _, want := range []int{0, 0, 1, 2} {
+			is.Equal(<-s.earlier, want)
+		}
 	})
 }
--- a/internal/relay/task.go
+++ b/internal/relay/task.go
@@ -26,10 +26,10 @@
 	HasKey   bool
 	ShardKey uint32
 	Priority int
-	// ConfirmedRecently reports whether the request may still be sent: the
-	// configuration by which its caller key is valid was confirmed within the
-	// time that the deployment demands.
-	ConfirmedRecently func() bool
+	// Authorize checks before each attempt whether the request may be sent: its caller
+	// key is valid by the configuration in force, which was confirmed within the time
+	// that the deployment demands. It returns the reason if not.
+	Authorize func() *result.Error
 }
 
 // AttemptResult is the outcome of one attempt.
@@ -136,9 +136,8 @@
 		a.Record(Event{Call: a.Call, Kind: "refused", Service: service, Attempts: a.history.attempts, Err: err})
 		return err
 	}
-	if !a.ConfirmedRecently() {
+	if err := a.Authorize(); err != nil { // after the wait for a target, in which a key may be withdrawn
 		a.Balancer.Done(balance.Outcome{Ticket: choice.Ticket, Target: choice.Target.ID, Incarnation: choice.Target.Incarnation, At: clock.Now()})
-		err := result.New(result.NoLease, "this entry VM's proof that its configuration is current is older than the revocation bound allows")
 		a.Record(Event{Call: a.Call, Kind: "refused", Service: service, Attempts: a.history.attempts, Err: err})
 		return err
 	}
--- a/internal/upstream/task.go
+++ b/internal/upstream/task.go
@@ -27,7 +27,7 @@
 type pool struct {
 	target    core.TargetID
 	address   string
-	limit     int // connections
+	limit     int             // connections
 	transport *http.Transport // for first attempts
 	// repeats opens a connection for each later attempt of a request, so that a late
 	// copy of the answer to an earlier one, which has the same id, isn't taken for its
