Reject requests that a stopping entry VM may not be able to answer

Callers saw (report of an operator): requests that came late in the grace period of a planned stop were passed on, and cut off without an answer at its end.

Cause: a stopping entry VM took requests for 3 s, or half the grace period, without regard to their deadlines.

Fix: in the second half of that time a request whose deadline is later than the end of the window in which answers can be delivered is rejected at once as not run, so that its caller repeats it elsewhere. One with an earlier deadline is served.

--- a/internal/relay/decide.go
+++ b/internal/relay/decide.go
@@ -24,6 +24,20 @@
 	ownerWaitFraction = 0.5
 )
 
+// StopWindow bounds the requests that a stopping entry VM takes. The zero value is
+// that of a VM that isn't stopping.
+type StopWindow struct {
+	TakeAllUntil time.Time // until then requests are taken whatever their deadlines
+	End          time.Time // answers can be delivered until then
+}
+
+// Admits reports whether a request may be taken. Towards the end a request that may
+// still run when the VM stops is better rejected, so that the caller repeats it
+// elsewhere, than cut off without an answer.
+func (w StopWindow) Admits(now, deadline time.Time) bool {
+	return w.End.IsZero() || now.Before(w.TakeAllUntil) || !deadline.After(w.End)
+}
+
 // ownerWait returns how long to wait for a key's next owner.
 func ownerWait(left time.Duration) time.Duration {
 	return min(time.Duration(float64(left)*ownerWaitFraction), maxOwnerWait)
