--- a/internal/registry/task.go
+++ b/internal/registry/task.go
@@ -3,10 +3,10 @@
 //
 // The decisions are in machine.go, pending.go and package raft. One task owns the
 // raft core, the storage and the state machine: task.go is its interface,
-// task_replica.go its main loop and task_read.go its handling of reads and
-// task_reject.go its answers while it can't serve.
-// task_peer.go is the task that sends to one other member, and task_propose.go
-// has the client functions, which run on the caller's goroutine.
+// task_replica.go its main loop, task_read.go its handling of reads, and
+// task_reject.go its answers while it can't serve. task_peer.go is the task that
+// sends to one other member, and task_propose.go has the client functions, which run
+// on the caller's goroutine.
 package registry
 
 import (
--- a/internal/registry/task_reject.go
+++ b/internal/registry/task_reject.go
@@ -8,10 +8,10 @@
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
 
-// unavailable returns the reason for which a replica with a failed storage rejects
-// messages: none of them has reached the log.
+// unavailable returns the reason for which a replica that has failed rejects messages.
+// It is not for proposals that may have reached the log.
 func unavailable(cause error) *result.Error {
-	e := result.Wrap(result.StorageFailed, cause, "the registry replica on this VM has no storage")
+	e := result.Wrap(result.StorageFailed, cause, "the registry replica on this VM can't serve")
 	e.Ran = result.NotRun
 	return e
 }
