--- a/internal/registry/disk_test.go
+++ b/internal/registry/disk_test.go
@@ -53,14 +53,22 @@
 	return f.LogFile.Write(p)
 }
 
-// startSupervised starts a voter of v1 to v3 on a disk that can fill up, under the
-// supervisor of a control VM.
-func (n *network) startSupervised(t *testing.T, vm core.VM) (v *voter, full *atomic.Bool) {
+// startOnFillableDisks starts voters v1 to v3, each under the supervisor of a control
+// VM, and returns what fills their disks.
+func startOnFillableDisks(t *testing.T) (*network, map[core.VM]*atomic.Bool) {
+	t.Helper()
+	n, full := newNetwork(), map[core.VM]*atomic.Bool{}
+	for _, m := range members(3) {
+		full[m.VM] = &atomic.Bool{}
+		n.startSupervised(t, m.VM, fillableDisk{storage.InMemory(), full[m.VM]})
+	}
+	return n, full
+}
+
+func (n *network) startSupervised(t *testing.T, vm core.VM, files storage.FileSystem) {
 	t.Helper()
-	full = &atomic.Bool{}
-	v = &voter{vm: vm, net: n, files: fillableDisk{storage.InMemory(), full}}
 	replica, err := NewTask(Options{
-		Self: vm, Members: members(3), Bootstrap: bootstrapChange, Files: v.files, Codec: configjson.Codec{},
+		Self: vm, Members: members(3), Bootstrap: bootstrapChange, Files: files, Codec: configjson.Codec{},
 		Transport: link{n, vm}, Seed: uint64(vm[1]) * 7919,
 		OnUpdate: func(configsync.Update) {}, OnEvent: func(string, string) {},
 	})
@@ -70,13 +78,12 @@
 	supervisor := task.NewSupervisor(string(vm), func(string) {})
 	supervisor.Add(task.Func("registry", replica.Serve))
 	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
+	v := &voter{vm: vm, net: n, files: files, task: replica, stop: cancel, done: make(chan struct{})}
 	go func() {
-		defer close(done)
+		defer close(v.done)
 		_ = supervisor.Serve(ctx)
 	}()
-	n.withLock(func() { v.task, v.stop, v.done, n.voters[vm] = replica, cancel, done, v })
-	return v, full
+	n.withLock(func() { n.voters[vm] = v })
 }
 
 // TestReplicaReturnsAfterAFullDisk guards against a replica that stays away long
@@ -86,11 +93,7 @@
 func TestReplicaReturnsAfterAFullDisk(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := newNetwork()
-		full := map[core.VM]*atomic.Bool{}
-		for _, m := range members(3) {
-			_, full[m.VM] = n.startSupervised(t, m.VM)
-		}
+		n, full := startOnFillableDisks(t)
 		away := n.leader()
 		_, err := away.task.Propose(t.Context(), put("before", 0, 1))
 		is.NoErr(err)
@@ -128,11 +131,7 @@
 func TestFullDiskAnswersCallersAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		n := newNetwork()
-		full := map[core.VM]*atomic.Bool{}
-		for _, m := range members(3) {
-			_, full[m.VM] = n.startSupervised(t, m.VM)
-		}
+		n, full := startOnFillableDisks(t)
 		leader := n.leader()
 		_, err := leader.task.Propose(t.Context(), put("before", 0, 1))
 		is.NoErr(err)
