Log how a version of the configuration reaches an entry VM

An entry VM logged neither the arrival of a version nor a failed poll, so that a slow link, a slow processor and a control VM that lags looked alike. It logs both now, with the source, the bytes, the times and a bound of the delay, and counts them in two metrics.

--- a/internal/configsync/task_poll.go
+++ b/internal/configsync/task_poll.go
@@ -39,6 +39,23 @@
 	MaxAge       time.Duration   // of the proof in a source's answers; 0: maxProofAge, for a tree of daemons
 	Task         *Task
 	Client       Client
+	Record       func(PollResult) // called after each poll that failed or brought a newer version; must not block; may be nil
+}
+
+// PollResult describes one poll of a source, for logs and metrics.
+type PollResult struct {
+	Source   string
+	From     core.Version  // version that this daemon had
+	Version  core.Version  // version that it has now
+	Commands int           // in the answer
+	Snapshot bool          // the answer was a snapshot
+	Bytes    int           // of the commands or the snapshot in the answer
+	Held     time.Duration // how long the source held the request
+	Took     time.Duration // from the request to the end of its processing, Held included
+	// Behind is an upper bound of the time for which a version newer than From may have
+	// been accepted: the age of the proof that From was the newest.
+	Behind time.Duration
+	Err    error
 }
 
 // Serve polls until ctx ends.
@@ -83,10 +100,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	a, err := r.Client.Watch(ctx, source.Address, Request{r.state.Version, hold})
+	from, provedBefore := r.state.Version, r.Task.ConfirmedAt()
+	a, err := r.Client.Watch(ctx, source.Address, Request{from, hold})
 	if err == nil {
 		err = r.mergeAnswer(source, a, now)
 	}
+	r.record(PollResult{
+		Source: source.Address, From: from, Version: r.state.Version, Commands: len(a.Commands), Snapshot: len(a.Snapshot) > 0,
+		Bytes: a.size(), Held: a.Held, Took: clock.Since(now), Behind: clock.Since(provedBefore), Err: err,
+	})
 	if err != nil || !r.confirmed || !r.isFresh(a, provedAt(a, now)) {
 		r.selector.advance(clock.Now())
 	}
@@ -100,6 +122,13 @@
 	}
 }
 
+// record passes on the result of a poll that failed or brought a newer version.
+func (p *Poller) record(result PollResult) {
+	if p.Record != nil && (result.Err != nil || result.Version > result.From) {
+		p.Record(result)
+	}
+}
+
 // isFresh reports whether an answer has a proof that is recent enough.
 func (p *Poller) isFresh(a Answer, provedAt time.Time) bool {
 	return a.Proved && clock.Since(provedAt) < p.maxAge()
--- a/internal/configsync/update.go
+++ b/internal/configsync/update.go
@@ -43,6 +43,15 @@
 	Held     time.Duration // how long the answer waited for something newer
 }
 
+// size returns the number of bytes of configuration in the answer.
+func (a Answer) size() int {
+	n := len(a.Snapshot)
+	for _, c := range a.Commands {
+		n += len(c.Command)
+	}
+	return n
+}
+
 // Codec encodes and decodes commands and states.
 type Codec interface {
 	EncodeCommand(config.Command) ([]byte, error)
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -29,6 +29,9 @@
 	Bounds balance.Bounds
 	Sender relay.Sender
 	Logger log.Logger
+	// ConfigPolled is called after each poll for the configuration that failed or brought
+	// a newer version. It must not block.
+	ConfigPolled func(configsync.PollResult)
 }
 
 // Entry is one entry VM: it follows the configuration and the fleet, and
@@ -66,6 +69,7 @@
 		Self: self, Voters: e.sources, Coordinator: func() core.VM { return "" }, Task: e.configuration,
 		MaxAge: configsync.MaxVoterProofAge,
 		Client: innerproto.NewRegistryClient(member, newTransport()),
+		Record: e.logPoll,
 	}
 	e.relay = &relay.Relay{Balancer: e.balance, Sender: o.Sender, Record: e.logEvent}
 	return e
@@ -115,6 +119,20 @@
 // to be the newest.
 func (e *Entry) ProofAge() time.Duration { return clock.Since(e.configuration.ConfirmedAt()) }
 
+// logPoll logs a poll for the configuration that failed or brought a newer version.
+func (e *Entry) logPoll(p configsync.PollResult) {
+	e.options.ConfigPolled(p)
+	fields := []any{
+		"source", p.Source, "from", p.From, "version", p.Version, "commands", p.Commands, "snapshot", p.Snapshot, "bytes", p.Bytes,
+		"held_ms", p.Held.Milliseconds(), "took_ms", p.Took.Milliseconds(), "behind_ms", min(p.Behind, time.Hour).Milliseconds(),
+	}
+	if p.Err != nil {
+		_ = level.Warn(e.options.Logger).Log(append([]any{"msg", "configuration not received", "err", p.Err}, fields...)...)
+		return
+	}
+	_ = level.Info(e.options.Logger).Log(append([]any{"msg", "configuration received"}, fields...)...)
+}
+
 // logEvent logs one event of the relay: at warning level if it carries an
 // error, otherwise at debug level.
 func (e *Entry) logEvent(event relay.Event) {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"github.com/comfreynotch/comfreynotch/internal/configsync"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/health"
 	"github.com/comfreynotch/comfreynotch/internal/result"
@@ -33,6 +34,8 @@
 	taskEvents      prometheus.Counter
 	droppedEvents   prometheus.Counter
 	droppedLogLines prometheus.Counter
+	configPolls     *prometheus.CounterVec
+	configBehind    prometheus.Histogram
 }
 
 // NewMetrics returns metrics that are registered on a new Prometheus registry.
@@ -53,9 +56,16 @@
 		taskEvents:      counter("task_events_total", "Failures and restarts of tasks that the supervisor reported."),
 		droppedEvents:   counter("timeline_dropped_total", "Events that found the recorder's mailbox full."),
 		droppedLogLines: counter("log_lines_dropped_total", "Log lines that found the log's mailbox full."),
+		configPolls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "configuration_polls_total", Help: "Polls for the configuration that failed or brought a newer version.",
+		}, []string{"outcome"}),
+		configBehind: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "configuration_behind_seconds",
+			Help: "Upper bound of the time for which a version was accepted before it was received here.", Buckets: durationBuckets,
+		}),
 	}
 	m.registry.MustRegister(
-		m.requests, m.durations, m.workspaces, m.taskEvents, m.droppedEvents, m.droppedLogLines,
+		m.requests, m.configPolls, m.configBehind, m.durations, m.workspaces, m.taskEvents, m.droppedEvents, m.droppedLogLines,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return m
@@ -81,6 +91,19 @@
 	m.workspaces.WithLabelValues(string(w), ran.String()).Inc()
 }
 
+// ConfigurationPoll counts a poll for the configuration that failed or brought a newer
+// version.
+func (m *Metrics) ConfigurationPoll(p configsync.PollResult) {
+	if p.Err != nil {
+		m.configPolls.WithLabelValues("failed").Inc()
+		return
+	}
+	m.configPolls.WithLabelValues("received").Inc()
+	if p.From > 0 { // the first version of a process is not late
+		m.configBehind.Observe(p.Behind.Seconds())
+	}
+}
+
 // TaskEvent counts a failure or restart of a task.
 func (m *Metrics) TaskEvent() { m.taskEvents.Inc() }
 
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/comfreynotch/comfreynotch/internal/cell"
 	"github.com/comfreynotch/comfreynotch/internal/config"
+	"github.com/comfreynotch/comfreynotch/internal/configsync"
 	"github.com/comfreynotch/comfreynotch/internal/health"
 	"github.com/comfreynotch/comfreynotch/internal/result"
 )
@@ -78,6 +79,7 @@
 	m := NewMetrics()
 	m.Request("archivio", result.RateExceeded, time.Millisecond)
 	m.WorkspaceRequest("lab", result.NotRun)
+	m.ConfigurationPoll(configsync.PollResult{From: 1, Version: 2, Behind: time.Millisecond})
 	m.RegisterGauges(func() health.View {
 		return health.View{State: config.NewState(), Table: cell.NewTable("padana-a")}
 	})
