Let a large change reach an entry VM over a slow link

A poll for the configuration had 1.6 s, of which the control VM may hold the request for up to 1 s.

The answer must now begin within the time that it had, and then make progress: a pause of 1 s ends the poll.

--- a/internal/configsync/task_poll.go
+++ b/internal/configsync/task_poll.go
@@ -13,8 +13,9 @@
 
 const (
 	longPollHold       = time.Second // how long a source may hold a request
-	pollTimeout        = 1600 * time.Millisecond
-	initialTimeout     = 3 * time.Second // before the first confirmed state: the answer is a snapshot, perhaps over a slow link
+	answerTimeout      = 600 * time.Millisecond
+	initialTimeout     = 3 * time.Second  // before the first confirmed state: the source may have to encode a snapshot
+	transferTimeout    = 30 * time.Second // for one whole poll; an answer that stalls ends it much earlier
 	failurePause       = 200 * time.Millisecond
 	unconfirmedPause   = 20 * time.Millisecond // between polls while no state is confirmed
 	replicaCheckPeriod = time.Second           // between checks whether the local replica is up to date
@@ -22,6 +23,8 @@
 
 // Client sends requests to other daemons.
 type Client interface {
+	// Watch ends with an error if the answer doesn't begin within q.Hold plus
+	// q.AnswerTimeout, or stalls.
 	Watch(ctx context.Context, address string, q Request) (Answer, error)
 	// ProposeAt proposes an encoded command through the registry voter at address.
 	ProposeAt(ctx context.Context, address string, command []byte) (core.Version, error)
@@ -94,19 +97,19 @@
 	if !ok {
 		return failurePause
 	}
-	hold, timeout := longPollHold, pollTimeout
+	request := Request{Version: r.state.Version, Hold: longPollHold, AnswerTimeout: answerTimeout}
 	if !r.confirmed {
-		hold, timeout = 0, initialTimeout
+		request.Hold, request.AnswerTimeout = 0, initialTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	from, provedBefore := r.state.Version, r.Task.ConfirmedAt()
-	a, err := r.Client.Watch(ctx, source.Address, Request{from, hold})
+	provedBefore := r.Task.ConfirmedAt()
+	a, err := r.Client.Watch(ctx, source.Address, request)
 	if err == nil {
 		err = r.mergeAnswer(source, a, now)
 	}
 	r.record(PollResult{
-		Source: source.Address, From: from, Version: r.state.Version, Commands: len(a.Commands), Snapshot: len(a.Snapshot) > 0,
+		Source: source.Address, From: request.Version, Version: r.state.Version, Commands: len(a.Commands), Snapshot: len(a.Snapshot) > 0,
 		Bytes: a.size(), Held: a.Held, Took: clock.Since(now), Behind: clock.Since(provedBefore), Err: err,
 	})
 	if err != nil || !r.confirmed || !r.isFresh(a, provedAt(a, now)) {
--- a/internal/configsync/task_test.go
+++ b/internal/configsync/task_test.go
@@ -123,8 +123,10 @@
 	t, down := c.tasks[address], c.down[address] || c.down[cl.self]
 	c.polls[address]++
 	c.mu.Unlock()
-	if t == nil || down {
-		<-ctx.Done() // the network drops the request
+	if t == nil || down { // the network drops the request
+		ctx, cancel := context.WithTimeout(ctx, q.Hold+q.AnswerTimeout)
+		defer cancel()
+		<-ctx.Done()
 		return configsync.Answer{}, ctx.Err()
 	}
 	time.Sleep(time.Millisecond)
--- a/internal/configsync/update.go
+++ b/internal/configsync/update.go
@@ -31,6 +31,9 @@
 type Request struct {
 	Version core.Version
 	Hold    time.Duration // how long the answer may wait for a newer version
+	// AnswerTimeout is the time after Hold within which the answer must begin. It isn't
+	// sent to the source.
+	AnswerTimeout time.Duration
 }
 
 // Answer is the answer to a Request: nothing, Commands or a Snapshot.
@@ -44,9 +47,11 @@
 }
 
 // size returns the number of bytes of configuration in the answer.
-func (a Answer) size() int {
-	n := len(a.Snapshot)
-	for _, c := range a.Commands {
+func (a Answer) size() int { return len(a.Snapshot) + sizeOf(a.Commands) }
+
+func sizeOf(commands []AcceptedCommand) int {
+	n := 0
+	for _, c := range commands {
 		n += len(c.Command)
 	}
 	return n
--- a/internal/innerproto/registry_client.go
+++ b/internal/innerproto/registry_client.go
@@ -26,7 +26,7 @@
 // NewRegistryClient returns a client that sends through transport. self identifies
 // this daemon to the others.
 func NewRegistryClient(self raft.Member, transport http.RoundTripper) *RegistryClient {
-	return &RegistryClient{self: self, client: &http.Client{Transport: transport}}
+	return &RegistryClient{self: self, client: &http.Client{Transport: stallTransport{transport}}}
 }
 
 func (c *RegistryClient) to(address string) innerpb.Registry {
@@ -102,6 +102,7 @@
 
 // Watch implements configsync.Client.
 func (c *RegistryClient) Watch(ctx context.Context, address string, q configsync.Request) (configsync.Answer, error) {
+	ctx = withFirstByteTimeout(ctx, q.Hold+q.AnswerTimeout)
 	w, err := c.to(address).Watch(ctx, &innerpb.WatchRequest{
 		Version: uint64(q.Version), HoldMicros: q.Hold.Microseconds(),
 	})
