--- a/internal/configsync/history.go
+++ b/internal/configsync/history.go
@@ -26,6 +26,13 @@
 	}
 }
 
+// bytesSince returns the size of the commands after version. It is only valid if since
+// has them.
+func (h *history) bytesSince(version core.Version) int {
+	commands, _ := h.since(version)
+	return sizeOf(commands)
+}
+
 // since returns the commands after version, or false if some of them are no
 // longer in the history.
 func (h *history) since(version core.Version) ([]AcceptedCommand, bool) {
--- a/internal/configsync/snapshot_test.go
+++ b/internal/configsync/snapshot_test.go
@@ -1,6 +1,7 @@
 package configsync_test
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -61,3 +62,46 @@
 	}
 	is.Equal(states, 1)
 }
+
+// TestRestartAfterManyChangesOfTheSameItems guards against a restarted daemon that gets
+// every change since the first one over its slow link, where the state is far smaller.
+func TestRestartAfterManyChangesOfTheSameItems(t *testing.T) {
+	is := is.New(t)
+	source := configsync.NewTask(codec, func(*config.State) {})
+	go func() { _ = source.Serve(t.Context()) }()
+	state := config.NewState()
+	const changes = 1000
+	for i := range changes {
+		data, err := codec.EncodeCommand(config.Command{Change: config.PatchCatalog{Tenants: []config.Tenancy{{
+			Item: config.Item{Revision: config.Revision(i + 1), Source: bytes.Repeat([]byte("x"), 300)}, Name: "lab", Rate: float64(i),
+		}}}})
+		is.NoErr(err)
+		command, err := codec.DecodeCommand(data)
+		is.NoErr(err)
+		state, err = state.Apply(command)
+		is.NoErr(err)
+		source.Offer(configsync.Update{
+			State: state, Commands: []configsync.AcceptedCommand{{Version: state.Version, Command: data}}, ConfirmedAt: clock.Now(), Confirmed: true,
+		})
+		if i%100 == 0 { // the source answers while its history grows
+			_, err := source.Watch(t.Context(), configsync.Request{})
+			is.NoErr(err)
+		}
+	}
+	snapshot, err := codec.EncodeState(state)
+	is.NoErr(err)
+	received, bytesReceived := config.NewState(), 0
+	for received.Version < state.Version {
+		a, err := source.Watch(t.Context(), configsync.Request{Version: received.Version})
+		is.NoErr(err)
+		bytesReceived += len(a.Snapshot)
+		for _, c := range a.Commands {
+			bytesReceived += len(c.Command)
+		}
+		received, err = configsync.Merge(received, a, codec)
+		is.NoErr(err)
+	}
+	const mostKept = 64 << 10 // of commands that are sent instead of a new snapshot
+	is.True(bytesReceived <= len(snapshot)+mostKept)
+	is.Equal(received.Catalog.Tenants["lab"].Rate, float64(changes-1))
+}
--- a/internal/configsync/task.go
+++ b/internal/configsync/task.go
@@ -212,14 +212,11 @@
 		return a
 	}
 	commands, ok := t.history.since(version)
-	if ok {
+	if ok && !t.snapshotIsSmaller(version, sizeOf(commands)) {
 		a.Commands = commands
 		return a
 	}
-	if _, ok := t.history.since(t.snapshotVersion); !ok || t.snapshot == nil {
-		t.snapshot, _ = t.codec.EncodeState(t.newest) // on an error the answer is empty, and the other daemon tries another source
-		t.snapshotVersion = t.newest.Version
-	}
+	t.refreshSnapshot()
 	if t.snapshotVersion < t.newest.Version {
 		// Encoding a state is expensive, so an older snapshot is reused as long as
 		// the commands after it are in the history: the other daemon gets those
@@ -229,3 +226,29 @@
 	a.Snapshot = t.snapshot
 	return a
 }
+
+// minSnapshotSaving is the size in bytes of commands up to which they are sent without
+// a look at the snapshot, which costs processor time to encode.
+const minSnapshotSaving = 64 << 10
+
+// snapshotIsSmaller reports whether a snapshot, with the commands after it, is smaller
+// than the commands after version. Load pattern: entry VMs with slow links restart
+// after hundreds of changes of the same items.
+func (t *Task) snapshotIsSmaller(version core.Version, commandBytes int) bool {
+	if commandBytes <= minSnapshotSaving {
+		return false
+	}
+	t.refreshSnapshot()
+	return t.snapshot != nil && t.snapshotVersion > version && len(t.snapshot)+t.history.bytesSince(t.snapshotVersion) < commandBytes
+}
+
+// refreshSnapshot encodes the newest state unless there is an older snapshot to which
+// the commands after it are kept and small.
+func (t *Task) refreshSnapshot() {
+	_, linked := t.history.since(t.snapshotVersion)
+	if linked && t.snapshot != nil && t.history.bytesSince(t.snapshotVersion) <= max(len(t.snapshot), minSnapshotSaving) {
+		return
+	}
+	t.snapshot, _ = t.codec.EncodeState(t.newest) // on an error the answer is empty, and the other daemon tries another source
+	t.snapshotVersion = t.newest.Version
+}
