--- a/internal/registry/disk_test.go
+++ b/internal/registry/disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -46,9 +47,11 @@
 	full *atomic.Bool
 }
 
+// Write writes a part of p if the disk has just filled up.
 func (f fillableFile) Write(p []byte) (int, error) {
 	if f.full.Load() {
-		return 0, errDiskFull
+		n, _ := f.LogFile.Write(p[:len(p)/2])
+		return n, errDiskFull
 	}
 	return f.LogFile.Write(p)
 }
@@ -65,11 +68,13 @@
 	return n, full
 }
 
+// startSupervised starts a voter that saves a snapshot every few entries.
 func (n *network) startSupervised(t *testing.T, vm core.VM, files storage.FileSystem) {
 	t.Helper()
+	const snapshotEntries = 16
 	replica, err := NewTask(Options{
 		Self: vm, Members: members(3), Bootstrap: bootstrapChange, Files: files, Codec: configjson.Codec{},
-		Transport: link{n, vm}, Seed: uint64(vm[1]) * 7919,
+		Transport: link{n, vm}, Seed: uint64(vm[1]) * 7919, SnapshotEntries: snapshotEntries,
 		OnUpdate: func(configsync.Update) {}, OnEvent: func(string, string) {},
 	})
 	if err != nil {
@@ -157,3 +162,43 @@
 		n.stopAll()
 	})
 }
+
+// TestChangesAfterFullDisksOneAfterAnother guards against changes that are refused or
+// unanswered for good after the disks of the voters were full one after another, never
+// two at once: a change is accepted within 2 s at any time, and in the end every voter
+// has all of them.
+func TestChangesAfterFullDisksOneAfterAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n, full := startOnFillableDisks(t)
+		n.leader()
+		const fullFor, pause, betweenChanges = 4500 * time.Millisecond, 500 * time.Millisecond, 300 * time.Millisecond
+		changes := 0
+		change := func(at core.VM) {
+			changes++
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			_, err := n.voters[at].task.Propose(ctx, put(fmt.Sprint("w", changes), 0, 1))
+			is.NoErr(err)
+		}
+		for round := range 9 {
+			filled := members(3)[round%3].VM
+			full[filled].Store(true)
+			for begin := time.Now(); time.Since(begin) < fullFor; time.Sleep(betweenChanges) {
+				change(members(3)[(round+1+changes%2)%3].VM)
+			}
+			full[filled].Store(false)
+			time.Sleep(pause)
+		}
+		for _, m := range members(3) {
+			change(m.VM)
+			state, err := n.voters[m.VM].task.Read(t.Context())
+			is.NoErr(err)
+			for i := range changes {
+				_, ok := state.Answered.Find(fmt.Sprint("w", i+1))
+				is.True(ok)
+			}
+		}
+		n.stopAll()
+	})
+}
