--- a/internal/config/catalog.go
+++ b/internal/config/catalog.go
@@ -1,10 +1,12 @@
 package config
 
 import (
+	"bytes"
 	"maps"
 	"slices"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/result"
@@ -17,8 +19,30 @@
 // Item holds the fields that all items of the catalog have.
 type Item struct {
 	Revision Revision
-	Dropped  bool   // this revision drops the item; the other fields are empty
-	Source   []byte // the item as the operator wrote it, returned when it is read; not interpreted here
+	Dropped  bool // this revision drops the item; the other fields are empty
+	// Text is the item as the operator wrote it, returned when it is read; not
+	// interpreted here. What isn't valid UTF-8 is in Source instead.
+	Text   string `json:",omitempty"`
+	Source []byte `json:",omitempty"`
+}
+
+// WithSource returns the item with what the operator wrote. Encoded as text it takes
+// half of the space that it takes in base64, also after compression.
+func (i Item) WithSource(written []byte) Item {
+	if utf8.Valid(written) {
+		i.Text = string(written)
+	} else {
+		i.Source = bytes.Clone(written)
+	}
+	return i
+}
+
+// Written returns what the operator wrote.
+func (i Item) Written() []byte {
+	if i.Text != "" {
+		return []byte(i.Text)
+	}
+	return i.Source
 }
 
 // Split is the share of a route's traffic that one service gets. It is
--- a/internal/configjson/configjson_test.go
+++ b/internal/configjson/configjson_test.go
@@ -124,3 +124,21 @@
 	is.NoErr(err)
 	is.Equal(v, core.Version(1))
 }
+
+// TestWrittenItemsSurvive checks that what an operator wrote is read back unchanged from
+// the encoding, whatever its bytes, and also from that of older versions, in base64.
+func TestWrittenItemsSurvive(t *testing.T) {
+	is := is.New(t)
+	for _, written := range []string{`{"name":"a","path":"/<b>&\u00e9/"}`, "{\"name\":\"\xff\xfe\"}", ""} {
+		change := config.PatchCatalog{Services: []config.TargetClass{{Item: config.Item{Revision: 1}.WithSource([]byte(written)), Name: "s"}}}
+		data, err := Codec{}.EncodeCommand(config.Command{Change: change})
+		is.NoErr(err)
+		command, err := Codec{}.DecodeCommand(data)
+		is.NoErr(err)
+		is.Equal(string(command.Change.(config.PatchCatalog).Services[0].Written()), written)
+	}
+	old := `{"request_id":"r","kind":"PatchCatalog","change":{"Routes":null,"Tenants":null,"Services":[{"Revision":1,"Dropped":false,"Source":"eyJhIjoxfQ==","Name":"s"}],"Limits":null}}`
+	command, err := Codec{}.DecodeCommand([]byte(old))
+	is.NoErr(err)
+	is.Equal(string(command.Change.(config.PatchCatalog).Services[0].Written()), `{"a":1}`)
+}
