Let a large update of the fleet reach an entry VM over a slow link

The same cause as for changes of the configuration: a poll of the leader had 1.2 s, of which the leader may hold it for 0.5 s, and an update that took longer than the rest was cut and began anew. The answer must now begin in that time and then make progress. The lease on the shares in an update is bounded by the time of the poll, so that a slow update doesn't extend it. TestLargeUpdateOverASlowLink failed before (720 targets at 20 KB/s, not there after 10 s).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -122,7 +122,7 @@
 	for _, s := range n.Targets {
 		p.applyTarget(s, now)
 	}
-	p.sharesUntil = now.Add(fleet.ShareLease)
+	p.sharesUntil = fleet.SharesUntil(n, now)
 	for _, s := range n.Shares {
 		p.bucketOf(s.Workspace).setShare(s, now)
 	}
--- a/internal/fleet/reports.go
+++ b/internal/fleet/reports.go
@@ -17,6 +17,17 @@
 // report up to one poll before the answer arrived.
 const ShareLease = entryVMTimeout - askTimeout - 300*time.Millisecond
 
+// SharesUntil returns the end of the lease on the shares in an update. An update that
+// takes longer than a poll may wait extends the lease no further than one that arrives
+// at the end of that time.
+func SharesUntil(u Update, receivedAt time.Time) time.Time {
+	from := receivedAt
+	if latest := u.RequestedAt.Add(askTimeout); !u.RequestedAt.IsZero() && latest.Before(from) {
+		from = latest
+	}
+	return from.Add(ShareLease)
+}
+
 // Demand is an entry VM's report about one workspace.
 type Demand struct {
 	Workspace   core.Workspace
--- a/internal/fleet/shares_test.go
+++ b/internal/fleet/shares_test.go
@@ -149,3 +149,16 @@
 		leader.ApplyReport(reports[i%entryVMs], state, now)
 	}
 }
+
+// TestSlowUpdateDoesNotExtendTheLease guards against shares that an entry VM uses after
+// the leader has given them to others, because the update that granted them took long.
+func TestSlowUpdateDoesNotExtendTheLease(t *testing.T) {
+	is := is.New(t)
+	reported := time.Now()
+	for _, took := range []time.Duration{0, askTimeout, 10 * askTimeout} {
+		received := reported.Add(took)
+		until := SharesUntil(Update{RequestedAt: reported}, received)
+		is.True(until.Before(reported.Add(entryVMTimeout)))
+		is.True(!until.After(received.Add(ShareLease)))
+	}
+}
--- a/internal/fleet/task.go
+++ b/internal/fleet/task.go
@@ -38,6 +38,9 @@
 	EntryVMs   int       // number of entry VMs that report
 	Index      int       // index of the receiver among them
 	ControlVMs []core.VM // all control VMs
+	// RequestedAt is when the receiver sent the poll, on its own clock; zero: just before
+	// the answer arrived.
+	RequestedAt time.Time
 }
 
 // PollRequest is a long poll: a report, and the term and sequence number of the last
@@ -46,6 +49,7 @@
 	Report
 	Term, Sequence uint64
 	Hold           time.Duration // how long the answer may wait for changes
+	AnswerTimeout  time.Duration // after Hold, until the answer must begin; not sent to the leader
 }
 
 // Options configures a Task.
--- a/internal/fleet/task_follow.go
+++ b/internal/fleet/task_follow.go
@@ -8,18 +8,23 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/comfreynotch/comfreynotch/internal/clock"
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
 
 const (
-	askTimeout   = 1200 * time.Millisecond // MaxPollWait, plus time for a slow network
-	failurePause = 100 * time.Millisecond  // after a poll that failed
+	answerTimeout   = 700 * time.Millisecond      // after the hold, until the answer must begin
+	askTimeout      = MaxPollWait + answerTimeout // until the leader counts as lost
+	transferTimeout = 30 * time.Second            // for one whole poll; an answer that stalls ends it much earlier
+	failurePause    = 100 * time.Millisecond      // after a poll that failed
 )
 
 // Client sends requests to the control VM at an inner address.
 type Client interface {
+	// Poll ends with an error if the answer doesn't begin within q.Hold plus
+	// q.AnswerTimeout, or stalls.
 	Poll(ctx context.Context, address string, q PollRequest) (Update, error)
 	Draw(ctx context.Context, address string, wants []quota.Want, backup bool) ([]quota.Supply, error)
 }
@@ -139,9 +144,10 @@
 		f.nextIndex++
 		address = addresses[f.nextIndex%len(addresses)]
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	q := PollRequest{Report: f.Report(), Term: f.term, Sequence: f.sequence, Hold: MaxPollWait}
+	q := PollRequest{Report: f.Report(), Term: f.term, Sequence: f.sequence, Hold: MaxPollWait, AnswerTimeout: answerTimeout}
+	requestedAt := clock.Now()
 	update, err := f.Client.Poll(ctx, address, q)
 	switch {
 	case err != nil:
@@ -163,6 +169,7 @@
 	f.leader = address
 	f.term, f.sequence = update.Term, update.Sequence
 	f.useControlVMs(update.ControlVMs, address)
+	update.RequestedAt = requestedAt
 	f.Deliver(ctx, update)
 	return true
 }
--- a/internal/innerproto/fleet.go
+++ b/internal/innerproto/fleet.go
@@ -86,7 +86,7 @@
 
 // NewFleetClient returns a client that sends through transport.
 func NewFleetClient(transport http.RoundTripper) *FleetClient {
-	return &FleetClient{&http.Client{Transport: transport}}
+	return &FleetClient{&http.Client{Transport: stallTransport{transport}}}
 }
 
 // Poll sends a report to the control VM at an inner address and returns its answer.
@@ -107,6 +107,7 @@
 	for _, t := range q.Leaving {
 		r.Leaving = append(r.Leaving, &innerpb.LeavingTarget{Target: string(t.Target), Life: uint64(t.Incarnation)})
 	}
+	ctx = withFirstByteTimeout(ctx, q.Hold+q.AnswerTimeout)
 	w, err := innerpb.NewFleetProtobufClient("http://"+address, c.client).Report(ctx, r)
 	if err != nil {
 		return fleet.Update{}, resultFromTwirp(err)
--- a/internal/innerproto/slow_link_test.go
+++ b/internal/innerproto/slow_link_test.go
@@ -17,6 +17,8 @@
 	"github.com/comfreynotch/comfreynotch/internal/configjson"
 	"github.com/comfreynotch/comfreynotch/internal/configsync"
 	"github.com/comfreynotch/comfreynotch/internal/core"
+	"github.com/comfreynotch/comfreynotch/internal/fleet"
+	"github.com/comfreynotch/comfreynotch/internal/quota"
 	"github.com/comfreynotch/comfreynotch/internal/raft"
 )
 
@@ -206,3 +208,51 @@
 		is.NoErr(err)
 	})
 }
+
+// largeUpdate answers polls with an update about many targets.
+type largeUpdate struct{ fleet.Update }
+
+func (l largeUpdate) Poll(ctx context.Context, q fleet.PollRequest) (fleet.Update, error) {
+	if q.Sequence == l.Sequence {
+		time.Sleep(q.Hold)
+		return fleet.Update{Term: l.Term, Sequence: l.Sequence}, nil
+	}
+	return l.Update, nil
+}
+
+func (l largeUpdate) Draw(context.Context, []quota.Want, bool) ([]quota.Supply, error) {
+	return nil, nil
+}
+
+// TestLargeUpdateOverASlowLink guards against an entry VM that never learns the targets,
+// because the first update from a new leader takes longer than a poll may wait.
+func TestLargeUpdateOverASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const targets = 720
+		news := largeUpdate{fleet.Update{Term: 1, Sequence: 1}}
+		for i := range targets {
+			news.Targets = append(news.Targets, fleet.TargetState{Target: core.Target{
+				ID: core.TargetID(fmt.Sprintf("i-%010x", i*7919)), Service: "archivio", DataCentre: "padana-a", Address: fmt.Sprintf("10.1.0.%d:8068", i), Incarnation: 1, Slots: 4,
+			}})
+		}
+		link := newSlowLink()
+		link.bytesPerSecond.Store(20_000)
+		server := &http.Server{Handler: FleetHandler(news)}
+		run(t, func(context.Context) error { return server.Serve(link) })
+		t.Cleanup(func() { server.Close() })
+		delivered := make(chan int, 1024)
+		follower := fleet.NewFollower(fleet.FollowerOptions{
+			Self: "entry", Seeds: func() []string { return []string{"control:1"} }, Client: NewFleetClient(&http.Transport{DialContext: link.dial}),
+			Report: func() fleet.Report { return fleet.Report{VM: "entry"} }, Record: func(string, ...any) {},
+			Deliver: func(_ context.Context, u fleet.Update) { delivered <- len(u.Targets) },
+		})
+		run(t, follower.Serve)
+		select {
+		case n := <-delivered:
+			is.Equal(n, targets)
+		case <-time.After(10 * time.Second):
+			t.Fatal("the update has not arrived")
+		}
+	})
+}
