Bound the bytes that one raft message and one call carry

A replica that missed more than fits into that time on its link began anew each time. TestAppendsAreBoundedInBytes failed before.

--- a/internal/raft/cluster_test.go
+++ b/internal/raft/cluster_test.go
@@ -12,6 +12,9 @@
 	"github.com/comfreynotch/comfreynotch/internal/core"
 )
 
+// maxTestBytes limits the data in one Append message.
+const maxTestBytes = 40
+
 func TestMain(m *testing.M) {
 	flag.Parse()
 	setDefault("rapid.seed", "1")
@@ -98,7 +101,7 @@
 func (s *cluster) start(vm core.VM) {
 	r := s.replicas[vm]
 	r.seed++
-	r.core = New(Config{Self: vm, ElectionTicks: 10, HeartbeatTicks: 3, MaxEntries: 3, Seed: r.seed}, r.disk.stored)
+	r.core = New(Config{Self: vm, ElectionTicks: 10, HeartbeatTicks: 3, MaxEntries: 3, MaxBytes: maxTestBytes, Seed: r.seed}, r.disk.stored)
 	r.applied = decodeSnapshot(r.disk.stored.Snapshot)
 	r.up = true
 }
--- a/internal/raft/core.go
+++ b/internal/raft/core.go
@@ -32,6 +32,7 @@
 	ElectionTicks  int    // minimum election timeout; each timeout is drawn between this and twice this
 	HeartbeatTicks int    // interval between a leader's heartbeats; must be well below ElectionTicks
 	MaxEntries     int    // maximum number of entries in one Append message
+	MaxBytes       int    // maximum size of their data, unless one entry alone is larger; 0: no limit
 	Seed           uint64 // seed of the random election timeouts; must differ between replicas
 }
 
--- a/internal/raft/failure_test.go
+++ b/internal/raft/failure_test.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -271,3 +272,37 @@
 		}
 	}
 }
+
+// TestAppendsAreBoundedInBytes guards against a replica that never catches up because
+// the entries that it missed are sent in one message, which takes longer than a send
+// may.
+func TestAppendsAreBoundedInBytes(t *testing.T) {
+	s := newCluster(t.Fatalf, 3, 0)
+	s.rounds(40)
+	s.deliverAll()
+	leader := s.leader()
+	var behind core.VM
+	for _, vm := range s.vms {
+		if vm != leader {
+			behind = vm
+		}
+	}
+	s.isolate(behind)
+	const missed = 30
+	for i := range missed {
+		if err := s.propose(leader, fmt.Sprintf("a command of 25 bytes %03d", i)); err != nil {
+			t.Fatal(err)
+		}
+		s.deliverAll()
+	}
+	clear(s.blocked)
+	for range 200 {
+		s.round()
+		for _, m := range s.inFlight {
+			if m.Type == Append && len(m.Entries) > 1 && len(m.Entries)*25 > maxTestBytes {
+				t.Fatalf("%d entries in one message", len(m.Entries))
+			}
+		}
+	}
+	s.settle()
+}
--- a/internal/raft/replicate.go
+++ b/internal/raft/replicate.go
@@ -107,7 +107,7 @@
 		c.send(Message{Type: InstallSnapshot, To: vm, Snapshot: &s})
 		return
 	}
-	entries := c.log.slice(p.next, c.log.last(), c.config.MaxEntries)
+	entries := limitBytes(c.log.slice(p.next, c.log.last(), c.config.MaxEntries), c.config.MaxBytes)
 	c.send(Message{
 		Type: Append, To: vm, LogIndex: prev, LogTerm: prevTerm,
 		Entries: entries, Commit: c.commit,
@@ -118,6 +118,19 @@
 	}
 }
 
+// limitBytes returns the first entries whose data is at most limit bytes, and at least
+// one.
+func limitBytes(entries []Entry, limit int) []Entry {
+	total := 0
+	for i, e := range entries {
+		total += len(e.Data)
+		if limit > 0 && i > 0 && total > limit {
+			return entries[:i:i]
+		}
+	}
+	return entries
+}
+
 func (c *Core) handleAppendReply(m Message) {
 	p := c.peers[m.From]
 	if c.role != Leader || p == nil {
--- a/internal/registry/task_peer.go
+++ b/internal/registry/task_peer.go
@@ -53,13 +53,14 @@
 	}
 }
 
-// collect returns m and the messages queued behind it, up to maxSendBatch.
+// collect returns m and the messages queued behind it, up to maxSendBatch or until they
+// hold maxAppendBytes of entries.
 func (p *peer) collect(m raft.Message) []raft.Message {
-	batch := []raft.Message{m}
-	for len(batch) < maxSendBatch {
+	batch, size := []raft.Message{m}, entryBytes(m)
+	for len(batch) < maxSendBatch && size < maxAppendBytes {
 		select {
 		case m = <-p.mailbox.C():
-			batch = append(batch, m)
+			batch, size = append(batch, m), size+entryBytes(m)
 		default:
 			return batch
 		}
@@ -67,6 +68,15 @@
 	return batch
 }
 
+// entryBytes returns the size of the entries in m.
+func entryBytes(m raft.Message) int {
+	n := 0
+	for _, e := range m.Entries {
+		n += len(e.Data)
+	}
+	return n
+}
+
 func (p *peer) send(ctx context.Context, batch []raft.Message) {
 	timeout := sendTimeout
 	for _, m := range batch {
--- a/internal/registry/task_replica.go
+++ b/internal/registry/task_replica.go
@@ -124,7 +124,7 @@
 		options: t.options, state: t.state, mailbox: t.mailbox, store: opened.store,
 		core: raft.New(raft.Config{
 			Self: t.options.Self, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
-			MaxEntries: maxAppendEntries, Seed: seed,
+			MaxEntries: maxAppendEntries, MaxBytes: maxAppendBytes, Seed: seed,
 		}, opened.stored),
 		machine: machine{codec: t.options.Codec},
 		pending: map[raft.Index]pending{}, reads: map[uint64]*read{}, readID: seed,
