Use the newest of several routes at one place

Of routes with one host and prefix, any could be chosen for a request, as the lookup goes over a map: a route that was added while an older one still stood was served for some requests only.

--- a/internal/config/catalog.go
+++ b/internal/config/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -288,18 +289,27 @@
 	return nil
 }
 
-// RouteOf returns the route for a host with the longest prefix that matches path.
+// RouteOf returns the route for a host with the longest prefix that matches path. Of
+// several routes with one host and prefix it returns the one with the highest revision,
+// on all VMs the same.
 func (c *Catalog) RouteOf(host, path string) (Route, bool) {
 	var best Route
 	found := false
 	for _, r := range c.Routes {
-		if !r.Dropped && r.Host == host && strings.HasPrefix(path, r.Prefix) && (!found || len(r.Prefix) > len(best.Prefix)) {
+		if !r.Dropped && r.Host == host && strings.HasPrefix(path, r.Prefix) && (!found || r.precedes(best)) {
 			best, found = r, true
 		}
 	}
 	return best, found
 }
 
+// precedes reports whether r is used in place of other, which also matches a request.
+func (r Route) precedes(other Route) bool {
+	return cmp.Or(
+		cmp.Compare(len(r.Prefix), len(other.Prefix)), cmp.Compare(r.Revision, other.Revision), cmp.Compare(other.Name, r.Name),
+	) > 0
+}
+
 // catalog returns the current catalog. States stored by older versions may have
 // none.
 func (s *State) catalog() *Catalog {
--- a/internal/config/catalog_test.go
+++ b/internal/config/catalog_test.go
@@ -161,3 +161,22 @@
 		}
 	})
 }
+
+// TestRoutesAtOnePlace guards against an added route that is served for some requests
+// only, because an older one with the same host and prefix still stands, such as one
+// whose removal is on its way.
+func TestRoutesAtOnePlace(t *testing.T) {
+	is := is.New(t)
+	route := func(name string, revision Revision) Route {
+		return Route{Item: Item{Revision: revision}, Name: name, Host: "h", Prefix: "/p/", Splits: []Split{{Service: "s", Weight: 1}}}
+	}
+	state := mustApply(t, NewState(), PatchCatalog{
+		Services: []TargetClass{{Item: Item{Revision: 1}, Name: "s"}},
+		Routes:   []Route{route("a", 3), route("b", 7), route("c", 5), route("d", 7)},
+	})
+	for range 100 {
+		r, ok := state.Catalog.RouteOf("h", "/p/x")
+		is.True(ok)
+		is.Equal(r.Name, "b")
+	}
+}
