Leave a control VM before its proof is too old

A source may hold a poll only while its proof is recent, and not at all before it has given one; the pause comes after all sources were polled in vain. Voters renew their proof every 0.7 s, so that one of 1.3 s is too old. TestChangeIsInForceWithin2sBesideALostVoter failed before in all 16 cases.

--- a/internal/configsync/sources.go
+++ b/internal/configsync/sources.go
@@ -21,9 +21,9 @@
 const maxProofAge = 3 * time.Second
 
 // MaxVoterProofAge is the maximum age of the proof for a daemon that polls only
-// voters. A voter that is partitioned from the leader delays a change at this
-// daemon by at most MaxVoterProofAge plus longPollHold.
-const MaxVoterProofAge = 1500 * time.Millisecond
+// voters. A voter that is partitioned from the leader delays a change at this daemon
+// by at most MaxVoterProofAge, one that no longer answers by answerTimeout more.
+const MaxVoterProofAge = 1300 * time.Millisecond
 
 // Source is a daemon that can be polled for the configuration.
 type Source struct {
--- a/internal/configsync/task.go
+++ b/internal/configsync/task.go
@@ -99,7 +99,7 @@
 	for t.Current().Version < version {
 		a, err := t.Watch(ctx, Request{Version: version - 1, Hold: maxHold})
 		if err == nil && a.Version < version {
-			err = sleep(ctx, unconfirmedPause) // this daemon has no confirmed state yet
+			err = sleep(ctx, nextSourcePause) // this daemon has no confirmed state yet
 		}
 		if err != nil {
 			return nil, result.Wrap(result.CommitUnknown, err,
--- a/internal/configsync/task_poll.go
+++ b/internal/configsync/task_poll.go
@@ -13,12 +13,13 @@
 
 const (
 	longPollHold       = time.Second // how long a source may hold a request
+	minHold            = 50 * time.Millisecond
 	answerTimeout      = 600 * time.Millisecond
-	initialTimeout     = 3 * time.Second  // before the first confirmed state: the source may have to encode a snapshot
-	transferTimeout    = 30 * time.Second // for one whole poll; an answer that stalls ends it much earlier
-	failurePause       = 200 * time.Millisecond
-	unconfirmedPause   = 20 * time.Millisecond // between polls while no state is confirmed
-	replicaCheckPeriod = time.Second           // between checks whether the local replica is up to date
+	initialTimeout     = 3 * time.Second        // before the first confirmed state: the source may have to encode a snapshot
+	transferTimeout    = 30 * time.Second       // for one whole poll; an answer that stalls ends it much earlier
+	failurePause       = 200 * time.Millisecond // after all sources were polled in vain
+	nextSourcePause    = 20 * time.Millisecond  // before a poll of the next source
+	replicaCheckPeriod = time.Second            // between checks whether the local replica is up to date
 )
 
 // Client sends requests to other daemons.
@@ -77,6 +78,9 @@
 	selector    sourceSelector
 	respondents respondents
 	confirmed   bool
+	// provedAt is when the newest state was proved by the selected source; zero: it
+	// hasn't given a recent proof since it was selected.
+	provedAt time.Time
 }
 
 // poll polls one source and returns the pause before the next poll.
@@ -97,9 +101,9 @@
 	if !ok {
 		return failurePause
 	}
-	request := Request{Version: r.state.Version, Hold: longPollHold, AnswerTimeout: answerTimeout}
+	request := Request{Version: r.state.Version, Hold: r.hold(), AnswerTimeout: answerTimeout}
 	if !r.confirmed {
-		request.Hold, request.AnswerTimeout = 0, initialTimeout
+		request.AnswerTimeout = initialTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
@@ -112,17 +116,28 @@
 		Source: source.Address, From: request.Version, Version: r.state.Version, Commands: len(a.Commands), Snapshot: len(a.Snapshot) > 0,
 		Bytes: a.size(), Held: a.Held, Took: clock.Since(now), Behind: clock.Since(provedBefore), Err: err,
 	})
-	if err != nil || !r.confirmed || !r.isFresh(a, provedAt(a, now)) {
-		r.selector.advance(clock.Now())
+	fresh := err == nil && r.isFresh(a, provedAt(a, now))
+	if r.confirmed && fresh {
+		r.provedAt = provedAt(a, now)
+		return 0
 	}
-	switch {
-	case err != nil || a.Version == 0:
-		return failurePause
-	case !r.confirmed:
-		return unconfirmedPause
-	default:
+	r.provedAt = time.Time{}
+	r.selector.advance(clock.Now())
+	if r.selector.index%len(sources) == 0 && (err != nil || a.Version == 0 || r.confirmed) {
+		return failurePause // all sources have been polled
+	}
+	return nextSourcePause
+}
+
+// hold returns for how long the selected source may hold the next request: not at all
+// until it has proved its state, and then no longer than that proof is recent. A source
+// that is partitioned from the leader is thus left when its proof becomes too old, and
+// one that doesn't answer costs no more than the time for an answer.
+func (r *pollRun) hold() time.Duration {
+	if r.provedAt.IsZero() {
 		return 0
 	}
+	return min(max(r.maxAge()-clock.Since(r.provedAt), minHold), longPollHold)
 }
 
 // record passes on the result of a poll that failed or brought a newer version.
--- a/internal/configsync/task_test.go
+++ b/internal/configsync/task_test.go
@@ -302,3 +302,56 @@
 		synctest.Wait()
 	})
 }
+
+// TestChangeIsInForceWithin2sBesideALostVoter guards against a change that is late on the
+// daemons whose voter is partitioned from the others, or silent, when it is accepted: a
+// poll was held for its full time although the voter's proof became too old meanwhile,
+// and the next voter was given the same time, even if it didn't answer.
+func TestChangeIsInForceWithin2sBesideALostVoter(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		for phase := time.Duration(0); phase < time.Second; phase += 130 * time.Millisecond {
+			t.Run(fmt.Sprint("silent ", silent, " after ", phase), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					const renewal = 700 * time.Millisecond // of a voter's proof
+					ctx, cancel := context.WithCancel(t.Context())
+					c := newCluster(ctx, 1)
+					connected, partition := context.WithCancel(ctx)
+					for _, name := range []string{"v1", "v2"} {
+						voter := configsync.NewTask(codec, func(*config.State) {})
+						c.add(name, voter)
+						go func() { _ = voter.Serve(ctx) }()
+						go func() {
+							for connected.Err() == nil {
+								c.mu.Lock()
+								voter.Offer(configsync.Update{State: c.state, ConfirmedAt: time.Now(), Confirmed: true})
+								c.mu.Unlock()
+								time.Sleep(renewal)
+							}
+						}()
+					}
+					for i := range 6 { // the name determines the order of the voters
+						p := &configsync.Poller{
+							Self: core.VM(fmt.Sprint("e", i)), Voters: func() []string { return []string{"v1", "v2", "registry"} },
+							Coordinator: func() core.VM { return "" }, Task: configsync.NewTask(codec, func(*config.State) {}),
+							Client: client{c, fmt.Sprint("e", i)}, MaxAge: configsync.MaxVoterProofAge,
+						}
+						c.add(string(p.Self), p.Task)
+						go func() { _ = p.Task.Serve(ctx) }()
+						go func() { _ = p.Serve(ctx) }()
+					}
+					time.Sleep(10*time.Second + phase)
+					partition()
+					c.setDown("v1", silent)
+					c.change(workspace(7))
+					time.Sleep(2 * time.Second)
+					for i := range 6 {
+						is.Equal(c.version(fmt.Sprint("e", i)), c.state.Version)
+					}
+					cancel()
+					synctest.Wait()
+				})
+			})
+		}
+	}
+}
--- a/internal/innerproto/slow_link_test.go
+++ b/internal/innerproto/slow_link_test.go
@@ -214,7 +214,12 @@
 
 func (l largeUpdate) Poll(ctx context.Context, q fleet.PollRequest) (fleet.Update, error) {
 	if q.Sequence == l.Sequence {
-		time.Sleep(q.Hold)
+		hold := time.NewTimer(q.Hold)
+		defer hold.Stop()
+		select {
+		case <-ctx.Done():
+		case <-hold.C:
+		}
 		return fleet.Update{Term: l.Term, Sequence: l.Sequence}, nil
 	}
 	return l.Update, nil
--- a/internal/registry/task.go
+++ b/internal/registry/task.go
@@ -29,7 +29,7 @@
 
 	electionTicks    = 6         // a follower starts an election after 0.6 s to 1.2 s without a leader
 	heartbeatTicks   = 2         // the leader sends a heartbeat every 0.2 s
-	refreshTicks     = 10        // ticks between two reads that confirm that this replica is up to date
+	refreshTicks     = 7         // ticks between two reads that confirm that this replica is up to date
 	maxAppendEntries = 512       // in one Append message
 	maxAppendBytes   = 512 << 10 // in one Append message and in one call; a small part of sendTimeout on the link of a control VM
 	deliverTimeout   = 400 * time.Millisecond
