--- a/internal/innerproto/slow_link_test.go
+++ b/internal/innerproto/slow_link_test.go
@@ -58,6 +58,17 @@
 	}
 }
 
+// transport returns a transport over the link. At the end of the test, which runs in a
+// synctest bubble, it waits until reads in progress have ended.
+func (l slowLink) transport(t *testing.T) *http.Transport {
+	transport := &http.Transport{DialContext: l.dial}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		time.Sleep(time.Minute)
+	})
+	return transport
+}
+
 type slowConn struct {
 	net.Conn
 	link slowLink
@@ -128,13 +139,14 @@
 // once the entry VM has a first configuration.
 func follow(t *testing.T, link slowLink) (*source, *configsync.Task) {
 	t.Helper()
+	transport := link.transport(t)
 	s := &source{Task: configsync.NewTask(configjson.Codec{}, func(*config.State) {})}
 	s.state.Store(config.NewState())
 	server := &http.Server{Handler: RegistryHandler("control", nil, s)}
 	follower := configsync.NewTask(configjson.Codec{}, func(*config.State) {})
 	poller := &configsync.Poller{
 		Self: "entry", Voters: func() []string { return []string{"control:1"} }, Coordinator: func() core.VM { return "" },
-		Task: follower, Client: NewRegistryClient(raft.Member{VM: "entry"}, &http.Transport{DialContext: link.dial}), MaxAge: configsync.MaxVoterProofAge,
+		Task: follower, Client: NewRegistryClient(raft.Member{VM: "entry"}, transport), MaxAge: configsync.MaxVoterProofAge,
 	}
 	for _, serve := range []func(context.Context) error{
 		s.Serve, s.confirm, follower.Serve, poller.Serve, func(context.Context) error { return server.Serve(link) },
@@ -243,12 +255,13 @@
 		}
 		link := newSlowLink()
 		link.bytesPerSecond.Store(20_000)
+		transport := link.transport(t)
 		server := &http.Server{Handler: FleetHandler(news)}
 		run(t, func(context.Context) error { return server.Serve(link) })
 		t.Cleanup(func() { server.Close() })
 		delivered := make(chan int, 1024)
 		follower := fleet.NewFollower(fleet.FollowerOptions{
-			Self: "entry", Seeds: func() []string { return []string{"control:1"} }, Client: NewFleetClient(&http.Transport{DialContext: link.dial}),
+			Self: "entry", Seeds: func() []string { return []string{"control:1"} }, Client: NewFleetClient(transport),
 			Report: func() fleet.Report { return fleet.Report{VM: "entry"} }, Record: func(string, ...any) {},
 			Deliver: func(_ context.Context, u fleet.Update) { delivered <- len(u.Targets) },
 		})
