Acknowledge a large change in time, and its resend without a new entry

A resent patch whose items are all in an accepted state is acknowledged from that state. A command that this VM has just encoded isn't decoded again to check it.

--- a/internal/config/catalog.go
+++ b/internal/config/catalog.go
@@ -135,6 +135,33 @@
 	Limits   *Limits
 }
 
+// AppliedIn reports whether s, a state that the registry has accepted, already has every
+// item of the patch at its revision or a higher one, so that the patch is valid and
+// changes nothing. Since revisions never fall, this holds for all later states too.
+func (c PatchCatalog) AppliedIn(s *State) bool {
+	catalog := s.catalog()
+	for _, r := range c.Routes {
+		if held, ok := catalog.Routes[r.Name]; !ok || r.Revision > held.Revision {
+			return false
+		}
+	}
+	for _, t := range c.Tenants {
+		if held, ok := catalog.Tenants[t.Name]; !ok || t.Revision > held.Revision {
+			return false
+		}
+	}
+	for _, service := range c.Services {
+		if held, ok := catalog.Services[service.Name]; !ok || service.Revision > held.Revision {
+			return false
+		}
+	}
+	if c.Limits != nil && c.Limits.Revision > catalog.Limits.Revision {
+		return false
+	}
+	_, err := s.Apply(Command{Change: c})
+	return err == nil
+}
+
 func (c PatchCatalog) apply(next *State) error {
 	current := next.catalog()
 	draft := &Catalog{
--- a/internal/config/catalog_test.go
+++ b/internal/config/catalog_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -180,3 +181,39 @@
 		is.Equal(r.Name, "b")
 	}
 }
+
+// TestResendIsRecognized guards against a resent change that goes to all VMs once more
+// although it is in force, and against one that is taken for a resend although it
+// changes something or is invalid.
+func TestResendIsRecognized(t *testing.T) {
+	is := is.New(t)
+	patch := PatchCatalog{
+		Services: []TargetClass{{Item: Item{Revision: 3}, Name: "s"}},
+		Tenants:  []Tenancy{{Item: Item{Revision: 3}, Name: "a", Keys: []string{"k"}}},
+		Routes:   []Route{{Item: Item{Revision: 3}, Name: "r", Host: "h", Prefix: "/", Splits: []Split{{Service: "s", Weight: 1}}}},
+		Limits:   &Limits{Item: Item{Revision: 3}},
+	}
+	is.True(!patch.AppliedIn(NewState()))
+	state := mustApply(t, NewState(), patch)
+	is.True(patch.AppliedIn(state))
+	state = mustApply(t, state, PatchCatalog{Routes: []Route{{Item: Item{Revision: 4, Dropped: true}, Name: "r"}}})
+	is.True(patch.AppliedIn(state))
+
+	for name, change := range map[string]func(p *PatchCatalog){
+		"newer service": func(p *PatchCatalog) { p.Services = []TargetClass{{Item: Item{Revision: 4}, Name: "s"}} },
+		"new workspace": func(p *PatchCatalog) { p.Tenants = append(p.Tenants, Tenancy{Item: Item{Revision: 1}, Name: "b"}) },
+		"newer route":   func(p *PatchCatalog) { p.Routes = []Route{{Item: Item{Revision: 5, Dropped: true}, Name: "r"}} },
+		"newer limits":  func(p *PatchCatalog) { p.Limits = &Limits{Item: Item{Revision: 4}} },
+		"unknown service": func(p *PatchCatalog) {
+			p.Routes = []Route{{Item: Item{Revision: 2}, Name: "r", Splits: []Split{{Service: "none"}}}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			changed := patch
+			changed.Tenants = slices.Clone(patch.Tenants)
+			change(&changed)
+			is.True(!changed.AppliedIn(state))
+		})
+	}
+}
--- a/internal/registry/task_propose.go
+++ b/internal/registry/task_propose.go
@@ -15,11 +15,14 @@
 
 const (
 	proposeTimeout = 8 * time.Second
-	// attemptTimeout limits one attempt: a member that stops may accept a request
-	// and never reply. The request id makes a retry safe.
-	attemptTimeout      = time.Second
-	memberChangeTimeout = 60 * time.Second // includes the time in which a learner copies the log
-	retryInterval       = 50 * time.Millisecond
+	// attemptTimeout limits one attempt with a small command: a member that stops may
+	// accept a request and never reply. The request id makes a retry safe.
+	attemptTimeout = time.Second
+	// attemptBytesPerSecond is the size of the command for which an attempt gets a second
+	// more: the leader decodes it twice, and a retry would add it to the log once more.
+	attemptBytesPerSecond = 32 << 10
+	memberChangeTimeout   = 60 * time.Second // includes the time in which a learner copies the log
+	retryInterval         = 50 * time.Millisecond
 )
 
 // Propose proposes a change and returns the state after it. It forwards the
@@ -44,19 +47,23 @@
 	if err != nil {
 		return 0, result.Wrap(result.InvalidChange, err, "encode the change")
 	}
-	return t.ProposeEncoded(ctx, data)
+	return t.proposeWithRetries(ctx, data)
 }
 
-// ProposeEncoded is like ProposeVersion for an encoded command.
+// ProposeEncoded is like ProposeVersion for a command that another VM has encoded.
 func (t *Task) ProposeEncoded(ctx context.Context, command []byte) (core.Version, error) {
 	if _, err := t.options.Codec.DecodeCommand(command); err != nil {
 		return 0, result.Wrap(result.InvalidChange, err, "decode the change") // an entry that replicas can't decode must not get into the log
 	}
+	return t.proposeWithRetries(ctx, command)
+}
+
+func (t *Task) proposeWithRetries(ctx context.Context, command []byte) (core.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	var version core.Version
 	err := Retry(ctx, func() (err error) {
-		attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout+time.Duration(len(command)/attemptBytesPerSecond)*time.Second)
 		defer cancel()
 		version, err = t.proposeAttempt(attemptCtx, command)
 		return err
--- a/internal/roles/control.go
+++ b/internal/roles/control.go
@@ -153,8 +153,14 @@
 func (c *Control) Fleet() *fleet.Task { return c.fleet }
 
 // Propose submits a change to the registry and returns when it is durable on a
-// majority of the voters.
+// majority of the voters. A resent patch that is in force already is acknowledged
+// without a new entry in the log, which all VMs would receive.
 func (c *Control) Propose(ctx context.Context, change config.Change) (core.Version, error) {
+	if patch, ok := change.(config.PatchCatalog); ok {
+		if state := c.replica.Current(); patch.AppliedIn(state) {
+			return state.Version, nil
+		}
+	}
 	return c.replica.ProposeVersion(ctx, config.Command{Change: change, At: time.Now()})
 }
 
