--- a/internal/fleet/task_follow.go
+++ b/internal/fleet/task_follow.go
@@ -135,8 +135,9 @@
 
 // poll sends one long poll and reports whether the next may follow without a pause.
 func (f *followRun) poll(ctx context.Context) bool {
-	address := f.leader
+	address, hold := f.leader, MaxPollWait
 	if address == "" {
+		hold = 0 // a VM that doesn't answer costs no more than the time for an answer
 		addresses := append(append([]string(nil), f.controlAddresses...), f.Seeds()...)
 		if len(addresses) == 0 {
 			return false
@@ -146,7 +147,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 	defer cancel()
-	q := PollRequest{Report: f.Report(), Term: f.term, Sequence: f.sequence, Hold: MaxPollWait, AnswerTimeout: answerTimeout}
+	q := PollRequest{Report: f.Report(), Term: f.term, Sequence: f.sequence, Hold: hold, AnswerTimeout: answerTimeout}
 	requestedAt := clock.Now()
 	update, err := f.Client.Poll(ctx, address, q)
 	switch {
