Refuse heartbeats of services that are not configured

Heartbeats are accepted before there is a configuration, and later for services that are or were configured.

--- a/internal/config/catalog.go
+++ b/internal/config/catalog.go
@@ -126,6 +126,14 @@
 	return s, ok && !s.Dropped
 }
 
+// KnowsService reports whether a service with this name is or was configured. An empty
+// catalog knows every service: targets may announce themselves before the first
+// configuration arrives.
+func (c *Catalog) KnowsService(name core.Service) bool {
+	_, ok := c.Services[name]
+	return ok || len(c.Services) == 0
+}
+
 // PatchCatalog sets and drops items. An item whose revision is not higher than
 // the stored one changes nothing, so that a resend has no effect.
 type PatchCatalog struct {
--- a/internal/fleet/task_targets.go
+++ b/internal/fleet/task_targets.go
@@ -91,6 +91,10 @@
 	if !r.holdsLease() {
 		return heartbeatAnswer{err: NotLeading{r.options.Lease().Leader}}
 	}
+	if !r.options.State().Catalog.KnowsService(h.Target.Service) {
+		// Another writer may use the id of a target, whose keys would then get other owners.
+		return heartbeatAnswer{err: result.New(result.BadRequest, "target %s names service %s, which is not configured", h.Target.ID, h.Target.Service)}
+	}
 	now := clock.Now()
 	known := r.state.targets[h.Target.ID]
 	if known == nil || known.Draining != h.Target.Draining || known.Incarnation != h.Target.Incarnation {
--- a/internal/fleet/task_test.go
+++ b/internal/fleet/task_test.go
@@ -14,12 +14,16 @@
 	"github.com/comfreynotch/comfreynotch/internal/core"
 	"github.com/comfreynotch/comfreynotch/internal/leadership"
 	"github.com/comfreynotch/comfreynotch/internal/quota"
+	"github.com/comfreynotch/comfreynotch/internal/result"
 	"github.com/comfreynotch/comfreynotch/internal/task"
 )
 
 // startTask runs a task whose view of the leader and the lease the test publishes.
 func startTask(ctx context.Context, lease task.Snapshot[leadership.Lease]) *Task {
-	state := config.NewState()
+	return startTaskWith(ctx, lease, config.NewState())
+}
+
+func startTaskWith(ctx context.Context, lease task.Snapshot[leadership.Lease], state *config.State) *Task {
 	fail := func(context.Context, config.Command) (*config.State, error) {
 		return nil, errors.New("not in this test")
 	}
@@ -67,6 +71,36 @@
 	})
 }
 
+// TestHeartbeatOfAnUnknownServiceChangesNothing guards against keys with two owners: a
+// heartbeat of another writer, with the id of a target and a service that isn't
+// configured, made the leader take the target's keys away while its lease ran.
+func TestHeartbeatOfAnUnknownServiceChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		state, err := config.NewState().Apply(config.Command{Change: config.PatchCatalog{
+			Services: []config.TargetClass{{Item: config.Item{Revision: 1}, Name: "s"}},
+		}})
+		is.NoErr(err)
+		now := clock.Now()
+		lease := leadership.Lease{Leader: "a", Term: 3, From: now, Until: now.Add(time.Hour)}
+		leader := startTaskWith(ctx, task.NewSnapshot(&lease), state)
+		_, err = leader.Heartbeat(ctx, heartbeatOf("i-1", 1))
+		is.NoErr(err)
+		foreign := heartbeatOf("i-1", 9)
+		foreign.Target.Service, foreign.Target.Incarnation = "unnamed", 7
+		_, err = leader.Heartbeat(ctx, foreign)
+		is.Equal(result.CodeOf(err), result.BadRequest)
+		update, err := leader.Poll(ctx, PollRequest{Report: Report{VM: "e"}})
+		is.NoErr(err)
+		is.Equal(len(update.Targets), 1)
+		is.Equal(update.Targets[0].Service, core.Service("s"))
+		is.Equal(update.Targets[0].Incarnation, core.Incarnation(1))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // TestFollowerAnswersAtOnce checks that a control VM that is not the leader answers
 // a heartbeat without delay, with the name of the leader.
 func TestFollowerAnswersAtOnce(t *testing.T) {
