--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -119,9 +119,21 @@
 // to be the newest.
 func (e *Entry) ProofAge() time.Duration { return clock.Since(e.configuration.ConfirmedAt()) }
 
-// logPoll logs a poll for the configuration that failed or brought a newer version.
+const (
+	// lateConfiguration and largeConfiguration are the delay and the size in bytes from
+	// which the arrival of a version is logged. Keys that move bring some versions a
+	// second, and a line costs as much processor time as the poll.
+	lateConfiguration  = time.Second
+	largeConfiguration = 16 << 10
+)
+
+// logPoll logs a poll for the configuration that failed, or that brought a first, late
+// or large version.
 func (e *Entry) logPoll(p configsync.PollResult) {
 	e.options.ConfigPolled(p)
+	if p.Err == nil && p.From > 0 && p.Behind < lateConfiguration && p.Bytes < largeConfiguration {
+		return
+	}
 	fields := []any{
 		"source", p.Source, "from", p.From, "version", p.Version, "commands", p.Commands, "snapshot", p.Snapshot, "bytes", p.Bytes,
 		"held_ms", p.Held.Milliseconds(), "took_ms", p.Took.Milliseconds(), "behind_ms", min(p.Behind, time.Hour).Milliseconds(),
