Give a source no hold after a return to it

An entry VM returns to its preferred control VM every 20 s. It counted the proof of the one that it had polled before, so that a preferred one that is still silent was given the time of a whole long poll, 1.6 s, during which changes waited. TestReturnToASilentVoterIsShort failed before.

--- a/internal/configsync/task_poll.go
+++ b/internal/configsync/task_poll.go
@@ -78,9 +78,10 @@
 	selector    sourceSelector
 	respondents respondents
 	confirmed   bool
-	// provedAt is when the newest state was proved by the selected source; zero: it
-	// hasn't given a recent proof since it was selected.
+	// provedAt is when the newest state was proved by the source at provedBy, which gave
+	// the newest answer; provedBy is empty if that answer had no recent proof.
 	provedAt time.Time
+	provedBy string
 }
 
 // poll polls one source and returns the pause before the next poll.
@@ -101,7 +102,7 @@
 	if !ok {
 		return failurePause
 	}
-	request := Request{Version: r.state.Version, Hold: r.hold(), AnswerTimeout: answerTimeout}
+	request := Request{Version: r.state.Version, Hold: r.hold(source), AnswerTimeout: answerTimeout}
 	if !r.confirmed {
 		request.AnswerTimeout = initialTimeout
 	}
@@ -118,10 +119,10 @@
 	})
 	fresh := err == nil && r.isFresh(a, provedAt(a, now))
 	if r.confirmed && fresh {
-		r.provedAt = provedAt(a, now)
+		r.provedAt, r.provedBy = provedAt(a, now), source.Address
 		return 0
 	}
-	r.provedAt = time.Time{}
+	r.provedBy = ""
 	r.selector.advance(clock.Now())
 	if r.selector.index%len(sources) == 0 && (err != nil || a.Version == 0 || r.confirmed) {
 		return failurePause // all sources have been polled
@@ -129,12 +130,12 @@
 	return nextSourcePause
 }
 
-// hold returns for how long the selected source may hold the next request: not at all
-// until it has proved its state, and then no longer than that proof is recent. A source
-// that is partitioned from the leader is thus left when its proof becomes too old, and
-// one that doesn't answer costs no more than the time for an answer.
-func (r *pollRun) hold() time.Duration {
-	if r.provedAt.IsZero() {
+// hold returns for how long the source may hold the next request: not at all until it
+// has proved its state, and then no longer than that proof is recent. A source that is
+// partitioned from the leader is thus left when its proof becomes too old, and one that
+// doesn't answer costs no more than the time for an answer.
+func (r *pollRun) hold(source Source) time.Duration {
+	if source.Address != r.provedBy {
 		return 0
 	}
 	return min(max(r.maxAge()-clock.Since(r.provedAt), minHold), longPollHold)
--- a/internal/configsync/task_test.go
+++ b/internal/configsync/task_test.go
@@ -355,3 +355,38 @@
 		}
 	}
 }
+
+// TestReturnToASilentVoterIsShort guards against a change that is late because a daemon
+// returns to its preferred voter after a while and gives it the time of a long poll,
+// although it is still silent.
+func TestReturnToASilentVoterIsShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCluster(ctx, 1)
+		c.add("silent", configsync.NewTask(codec, func(*config.State) {}))
+		c.setDown("silent", true)
+		const daemons = 6 // the name determines the voter that each prefers
+		for i := range daemons {
+			p := &configsync.Poller{
+				Self: core.VM(fmt.Sprint("e", i)), Voters: func() []string { return []string{"silent", "registry"} },
+				Coordinator: func() core.VM { return "" }, Task: configsync.NewTask(codec, func(*config.State) {}),
+				Client: client{c, fmt.Sprint("e", i)}, MaxAge: configsync.MaxVoterProofAge,
+			}
+			c.add(string(p.Self), p.Task)
+			go func() { _ = p.Task.Serve(ctx) }()
+			go func() { _ = p.Serve(ctx) }()
+		}
+		time.Sleep(10 * time.Second)
+		for range 60 { // longer than the time until the return
+			c.change(workspace(float64(c.state.Version)))
+			time.Sleep(650 * time.Millisecond) // the time for an answer, and a pause
+			for i := range daemons {
+				is.Equal(c.version(fmt.Sprint("e", i)), c.state.Version)
+			}
+			time.Sleep(250 * time.Millisecond)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
