Count no delay for a version that has no bound

Cause: the delay of a version counts from the newest proof. A version that arrives before there is any was given the time since the year 1, capped at an hour in the log line, and uncapped in the histogram configuration_behind_seconds. Change: such a delay is marked as unknown, and neither counted nor logged as late. Conclusion: log and metric only.

--- a/internal/configsync/task_poll.go
+++ b/internal/configsync/task_poll.go
@@ -57,7 +57,8 @@
 	Held     time.Duration // how long the source held the request
 	Took     time.Duration // from the request to the end of its processing, Held included
 	// Behind is an upper bound of the time for which a version newer than From may have
-	// been accepted: the age of the proof that From was the newest.
+	// been accepted: the age of the proof that From was the newest. It is negative if
+	// there was no such proof.
 	Behind time.Duration
 	Err    error
 }
@@ -115,7 +116,7 @@
 	}
 	r.record(PollResult{
 		Source: source.Address, From: request.Version, Version: r.state.Version, Commands: len(a.Commands), Snapshot: len(a.Snapshot) > 0,
-		Bytes: a.size(), Held: a.Held, Took: clock.Since(now), Behind: clock.Since(provedBefore), Err: err,
+		Bytes: a.size(), Held: a.Held, Took: clock.Since(now), Behind: ageOf(provedBefore), Err: err,
 	})
 	fresh := err == nil && r.isFresh(a, provedAt(a, now))
 	if r.confirmed && fresh {
@@ -141,6 +142,14 @@
 	return min(max(r.maxAge()-clock.Since(r.provedAt), minHold), longPollHold)
 }
 
+// ageOf returns the age of a proof, or -1 if there is none.
+func ageOf(provedAt time.Time) time.Duration {
+	if provedAt.IsZero() {
+		return -1
+	}
+	return clock.Since(provedAt)
+}
+
 // record passes on the result of a poll that failed or brought a newer version.
 func (p *Poller) record(result PollResult) {
 	if p.Record != nil && (result.Err != nil || result.Version > result.From) {
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -131,12 +131,12 @@
 // or large version.
 func (e *Entry) logPoll(p configsync.PollResult) {
 	e.options.ConfigPolled(p)
-	if p.Err == nil && p.From > 0 && p.Behind < lateConfiguration && p.Bytes < largeConfiguration {
+	if p.Err == nil && p.Behind >= 0 && p.Behind < lateConfiguration && p.Bytes < largeConfiguration {
 		return
 	}
 	fields := []any{
 		"source", p.Source, "from", p.From, "version", p.Version, "commands", p.Commands, "snapshot", p.Snapshot, "bytes", p.Bytes,
-		"held_ms", p.Held.Milliseconds(), "took_ms", p.Took.Milliseconds(), "behind_ms", min(p.Behind, time.Hour).Milliseconds(),
+		"held_ms", p.Held.Milliseconds(), "took_ms", p.Took.Milliseconds(), "behind_ms", p.Behind.Milliseconds(),
 	}
 	if p.Err != nil {
 		_ = level.Warn(e.options.Logger).Log(append([]any{"msg", "configuration not received", "err", p.Err}, fields...)...)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -99,7 +99,7 @@
 		return
 	}
 	m.configPolls.WithLabelValues("received").Inc()
-	if p.From > 0 { // the first version of a process is not late
+	if p.Behind >= 0 { // the first versions of a process have no bound
 		m.configBehind.Observe(p.Behind.Seconds())
 	}
 }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -108,6 +108,23 @@
 	is.Equal(documented, served)
 }
 
+// TestFirstVersionIsNotLate guards against a delay of centuries in the histogram, from a
+// version that arrives before there is any proof.
+func TestFirstVersionIsNotLate(t *testing.T) {
+	is := is.New(t)
+	m := NewMetrics()
+	m.ConfigurationPoll(configsync.PollResult{From: 1, Version: 2, Behind: -1})
+	m.ConfigurationPoll(configsync.PollResult{From: 2, Version: 3, Behind: time.Second})
+	families, err := m.Registry().Gather()
+	is.NoErr(err)
+	for _, f := range families {
+		if f.GetName() == "comfreynotch_configuration_behind_seconds" {
+			is.Equal(f.GetMetric()[0].GetHistogram().GetSampleCount(), uint64(1))
+			is.Equal(f.GetMetric()[0].GetHistogram().GetSampleSum(), 1.0)
+		}
+	}
+}
+
 // TestLastLinesAreWritten checks that the lines in the mailbox are written when
 // the task stops.
 func TestLastLinesAreWritten(t *testing.T) {
