Start the entry VMs of the tests of polls in one place

Cause: three tests of configsync each built the same six pollers, and two the same renewal of a voter's proof. Change: startEntryVMs and renewVoter. No check, bound or seed is changed.

--- a/internal/configsync/task_test.go
+++ b/internal/configsync/task_test.go
@@ -112,6 +112,34 @@
 	c.tasks[name] = t
 }
 
+// entryVMs is the number of daemons that startEntryVMs starts. Their names, e0 and so
+// on, determine the order in which each polls the voters.
+const entryVMs = 6
+
+// startEntryVMs starts daemons that poll voters directly.
+func (c *cluster) startEntryVMs(ctx context.Context, voters []string) {
+	for i := range entryVMs {
+		p := &configsync.Poller{
+			Self: core.VM(fmt.Sprint("e", i)), Voters: func() []string { return voters },
+			Coordinator: func() core.VM { return "" }, Task: configsync.NewTask(codec, func(*config.State) {}),
+			Client: client{c, fmt.Sprint("e", i)}, MaxAge: configsync.MaxVoterProofAge,
+		}
+		c.add(string(p.Self), p.Task)
+		go func() { _ = p.Task.Serve(ctx) }()
+		go func() { _ = p.Serve(ctx) }()
+	}
+}
+
+// renewVoter offers the state to a voter's copy, as its registry does, until ctx ends.
+func (c *cluster) renewVoter(ctx context.Context, voter *configsync.Task, period time.Duration) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		voter.Offer(configsync.Update{State: c.state, ConfirmedAt: time.Now(), Confirmed: true})
+		c.mu.Unlock()
+		time.Sleep(period)
+	}
+}
+
 type client struct {
 	cluster *cluster
 	self    string
@@ -273,29 +301,13 @@
 		voter := configsync.NewTask(codec, func(*config.State) {})
 		c.add("isolated", voter)
 		go func() { _ = voter.Serve(ctx) }()
-		go func() {
-			for connected.Err() == nil {
-				c.mu.Lock()
-				voter.Offer(configsync.Update{State: c.state, ConfirmedAt: time.Now(), Confirmed: true})
-				c.mu.Unlock()
-				time.Sleep(time.Second)
-			}
-		}()
-		for i := range 6 { // the name determines the voter that each polls first
-			p := &configsync.Poller{
-				Self: core.VM(fmt.Sprint("e", i)), Voters: func() []string { return []string{"isolated", "registry"} },
-				Coordinator: func() core.VM { return "" }, Task: configsync.NewTask(codec, func(*config.State) {}),
-				Client: client{c, fmt.Sprint("e", i)}, MaxAge: configsync.MaxVoterProofAge,
-			}
-			c.add(string(p.Self), p.Task)
-			go func() { _ = p.Task.Serve(ctx) }()
-			go func() { _ = p.Serve(ctx) }()
-		}
+		go c.renewVoter(connected, voter, time.Second)
+		c.startEntryVMs(ctx, []string{"isolated", "registry"})
 		time.Sleep(5 * time.Second)
 		partition()
 		c.change(workspace(7))
 		time.Sleep(3 * time.Second)
-		for i := range 6 {
+		for i := range entryVMs {
 			is.Equal(c.version(fmt.Sprint("e", i)), c.state.Version)
 		}
 		cancel()
@@ -321,31 +333,15 @@
 						voter := configsync.NewTask(codec, func(*config.State) {})
 						c.add(name, voter)
 						go func() { _ = voter.Serve(ctx) }()
-						go func() {
-							for connected.Err() == nil {
-								c.mu.Lock()
-								voter.Offer(configsync.Update{State: c.state, ConfirmedAt: time.Now(), Confirmed: true})
-								c.mu.Unlock()
-								time.Sleep(renewal)
-							}
-						}()
-					}
-					for i := range 6 { // the name determines the order of the voters
-						p := &configsync.Poller{
-							Self: core.VM(fmt.Sprint("e", i)), Voters: func() []string { return []string{"v1", "v2", "registry"} },
-							Coordinator: func() core.VM { return "" }, Task: configsync.NewTask(codec, func(*config.State) {}),
-							Client: client{c, fmt.Sprint("e", i)}, MaxAge: configsync.MaxVoterProofAge,
-						}
-						c.add(string(p.Self), p.Task)
-						go func() { _ = p.Task.Serve(ctx) }()
-						go func() { _ = p.Serve(ctx) }()
+						go c.renewVoter(connected, voter, renewal)
 					}
+					c.startEntryVMs(ctx, []string{"v1", "v2", "registry"})
 					time.Sleep(10*time.Second + phase)
 					partition()
 					c.setDown("v1", silent)
 					c.change(workspace(7))
 					time.Sleep(2 * time.Second)
-					for i := range 6 {
+					for i := range entryVMs {
 						is.Equal(c.version(fmt.Sprint("e", i)), c.state.Version)
 					}
 					cancel()
@@ -366,22 +362,12 @@
 		c := newCluster(ctx, 1)
 		c.add("silent", configsync.NewTask(codec, func(*config.State) {}))
 		c.setDown("silent", true)
-		const daemons = 6 // the name determines the voter that each prefers
-		for i := range daemons {
-			p := &configsync.Poller{
-				Self: core.VM(fmt.Sprint("e", i)), Voters: func() []string { return []string{"silent", "registry"} },
-				Coordinator: func() core.VM { return "" }, Task: configsync.NewTask(codec, func(*config.State) {}),
-				Client: client{c, fmt.Sprint("e", i)}, MaxAge: configsync.MaxVoterProofAge,
-			}
-			c.add(string(p.Self), p.Task)
-			go func() { _ = p.Task.Serve(ctx) }()
-			go func() { _ = p.Serve(ctx) }()
-		}
+		c.startEntryVMs(ctx, []string{"silent", "registry"})
 		time.Sleep(10 * time.Second)
 		for range 60 { // longer than the time until the return
 			c.change(workspace(float64(c.state.Version)))
 			time.Sleep(650 * time.Millisecond) // the time for an answer, and a pause
-			for i := range daemons {
+			for i := range entryVMs {
 				is.Equal(c.version(fmt.Sprint("e", i)), c.state.Version)
 			}
 			time.Sleep(250 * time.Millisecond)
